--- /dev/null
+++ b/components/admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Administration API: types and client.
--- /dev/null
+++ b/components/catalog/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated state: settings tree, targets, terms, members.
--- /dev/null
+++ b/components/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log: elections, replication and membership, as decisions without I/O.
--- /dev/null
+++ b/components/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Loop of a control process.
--- /dev/null
+++ b/components/disk/src/lib.rs
@@ -0,0 +1,1 @@
+//! Log and snapshot files of a control instance.
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Loop of an entry process.
--- /dev/null
+++ b/components/failover/src/lib.rs
@@ -0,0 +1,1 @@
+//! Health of targets and changes of primary.
--- /dev/null
+++ b/components/history/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checker of operation histories.
--- /dev/null
+++ b/components/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases of entries and connection quotas.
--- /dev/null
+++ b/components/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Streams of messages between processes over HTTP/2.
--- /dev/null
+++ b/components/observe/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and the HTTP endpoint of a process.
--- /dev/null
+++ b/components/pg/src/lib.rs
@@ -0,0 +1,1 @@
+//! PostgreSQL frames, builders and authentication.
--- /dev/null
+++ b/components/pool/src/lib.rs
@@ -0,0 +1,1 @@
+//! Connections, queue, admission and scheduling of a target.
--- /dev/null
+++ b/components/relay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Exchange between a caller and a target connection.
--- /dev/null
+++ b/components/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a target for a statement.
--- /dev/null
+++ b/components/session/src/lib.rs
@@ -0,0 +1,1 @@
+//! Session tokens and the positions a session needs.
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings files of the processes: schema, checks and findings.
--- /dev/null
+++ b/components/sql/src/lib.rs
@@ -0,0 +1,1 @@
+//! Class and fingerprint of SQL statements.
--- /dev/null
+++ b/components/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in target for tests and the demo.
