--- /dev/null
+++ b/components/link/src/stream.rs
@@ -0,0 +1,195 @@
+//! Opening, accepting and running streams.
+
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail};
+use bytes::{Bytes, BytesMut};
+use h2::{RecvStream, SendStream};
+use http::{Request, Response};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::frame;
+
+/// Time for the connection and the HTTP/2 handshake of a new stream.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Receive window of a stream; holds the largest message, so that a sender is not stopped within it.
+const WINDOW: u32 = 16 << 20;
+/// Streams a peer may open on one connection; own processes open one.
+const MAX_STREAMS: u32 = 4;
+
+/// What a running stream reports.
+#[derive(Debug)]
+pub enum Event<I> {
+    /// A message arrived.
+    Message(I),
+    /// The stream has ended; nothing follows.
+    Closed(anyhow::Error),
+}
+
+/// A stream of messages in both directions.
+#[derive(Debug)]
+pub struct Stream {
+    send: SendStream<Bytes>,
+    receive: RecvStream,
+}
+
+/// Opens a stream to the process at `address`.
+///
+/// # Errors
+/// Fails if the process does not answer in time or refuses the stream.
+pub async fn dial(address: SocketAddr, path: &str) -> Result<Stream> {
+    let opened = timeout(DIAL_TIMEOUT, open(address, path)).await;
+    opened
+        .with_context(|| format!("dial {address}: timeout"))?
+        .with_context(|| format!("dial {address}"))
+}
+
+async fn open(address: SocketAddr, path: &str) -> Result<Stream> {
+    let socket = TcpStream::connect(address).await.context("connect")?;
+    socket.set_nodelay(true).context("set no delay")?;
+    let (requests, connection) = h2::client::Builder::new()
+        .initial_window_size(WINDOW)
+        .initial_connection_window_size(WINDOW)
+        .handshake::<_, Bytes>(socket)
+        .await
+        .context("handshake")?;
+    spawn_local(async move {
+        // The stream reports the end of the connection.
+        let _ended = connection.await;
+    });
+    let mut requests = requests.ready().await.context("stream")?;
+    let request = Request::post(format!("http://{address}{path}"))
+        .body(())
+        .context("request")?;
+    let (response, send) = requests.send_request(request, false).context("request")?;
+    let response = response.await.context("response")?;
+    if !response.status().is_success() {
+        bail!("refused with status {}", response.status());
+    }
+    Ok(Stream {
+        send,
+        receive: response.into_body(),
+    })
+}
+
+/// Accepts streams for ever; `accept` gets the path of each and starts a task for it, or returns
+/// false to refuse it.
+pub async fn listen(
+    listener: TcpListener,
+    accept: impl Fn(&str, Stream) -> bool + Clone + 'static,
+) {
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            // Out of descriptors: connections that end free some.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            continue;
+        };
+        let accept = accept.clone();
+        spawn_local(async move {
+            // A failed connection ends its streams, which report it.
+            let _ended = serve(socket, accept).await;
+        });
+    }
+}
+
+async fn serve(socket: TcpStream, accept: impl Fn(&str, Stream) -> bool) -> Result<()> {
+    socket.set_nodelay(true)?;
+    let mut builder = h2::server::Builder::new();
+    builder
+        .initial_window_size(WINDOW)
+        .initial_connection_window_size(WINDOW)
+        .max_concurrent_streams(MAX_STREAMS);
+    let handshake = timeout(DIAL_TIMEOUT, builder.handshake::<_, Bytes>(socket));
+    let mut connection = handshake.await.context("handshake timeout")??;
+    while let Some(request) = connection.accept().await {
+        let (request, mut respond) = request?;
+        let send = respond.send_response(Response::new(()), false)?;
+        let path = request.uri().path().to_owned();
+        let stream = Stream {
+            send,
+            receive: request.into_body(),
+        };
+        accept(&path, stream);
+    }
+    Ok(())
+}
+
+impl Stream {
+    /// Runs the stream until it ends: sends what `outgoing` yields, and reports what arrives as
+    /// events of the process's loop, made by `wrap`. Ends as well when `outgoing` is closed.
+    pub async fn run<I, O, E>(
+        mut self,
+        mut outgoing: mpsc::Receiver<O>,
+        events: mpsc::Sender<E>,
+        wrap: impl Fn(Event<I>) -> E,
+    ) where
+        I: DeserializeOwned,
+        O: Serialize,
+    {
+        let mut buffer = BytesMut::new();
+        let error = loop {
+            tokio::select! {
+                message = outgoing.recv() => {
+                    let Some(message) = message else {
+                        break anyhow::anyhow!("closed by this process");
+                    };
+                    if let Err(error) = write(&mut self.send, &message).await {
+                        break error.context("send");
+                    }
+                }
+                read = read(&mut self.receive, &mut buffer) => {
+                    if let Err(error) = read {
+                        break error.context("receive");
+                    }
+                    match deliver(&mut buffer, &events, &wrap).await {
+                        Ok(true) => {}
+                        Ok(false) => return,
+                        Err(error) => break error.context("decode"),
+                    }
+                }
+            }
+        };
+        // The loop may have ended already; then nobody is left to tell.
+        let _sent = events.send(wrap(Event::Closed(error))).await;
+    }
+}
+
+/// Sends the complete messages to the loop. False if the loop has ended.
+async fn deliver<I: DeserializeOwned, E>(
+    buffer: &mut BytesMut,
+    events: &mpsc::Sender<E>,
+    wrap: &impl Fn(Event<I>) -> E,
+) -> Result<bool> {
+    while let Some(message) = frame::take(buffer)? {
+        if events.send(wrap(Event::Message(message))).await.is_err() {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+async fn write<O: Serialize>(send: &mut SendStream<Bytes>, message: &O) -> Result<()> {
+    let mut bytes = frame::encode(message)?;
+    while !bytes.is_empty() {
+        send.reserve_capacity(bytes.len());
+        let capacity = poll_fn(|context| send.poll_capacity(context)).await;
+        let capacity = capacity.context("stream ended")??;
+        let chunk = bytes.split_to(capacity.min(bytes.len()));
+        send.send_data(chunk, false)?;
+    }
+    Ok(())
+}
+
+async fn read(receive: &mut RecvStream, buffer: &mut BytesMut) -> Result<()> {
+    let chunk = receive.data().await.context("stream ended")??;
+    buffer.extend_from_slice(&chunk);
+    receive.flow_control().release_capacity(chunk.len())?;
+    Ok(())
+}
