--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -1,1 +1,37 @@
 //! Settings files of the processes: schema, checks and findings.
+//!
+//! A file is checked against the committed JSON Schema and by rules across fields. Everything found
+//! is reported together, each with its file and JSON path; values never appear in a finding, since
+//! they may be secrets.
+
+mod check;
+mod control;
+mod entry;
+mod file;
+mod finding;
+mod log;
+mod secret;
+mod standin;
+
+#[allow(missing_docs, reason = "generated; the schema holds the comments")]
+#[allow(clippy::use_self, clippy::derivable_impls, reason = "generated")]
+#[allow(unused_imports, reason = "generated; the re-export of defaults")]
+#[rustfmt::skip]
+pub mod generated {
+    //! Settings files as they are written, generated from `schema/settings`.
+
+    pub mod control;
+    pub mod entry;
+    pub mod standin;
+}
+
+pub use control::{Control, Member};
+pub use entry::{Caller, Entry, Key};
+pub use file::{Kind, Ports, load, load_with, parse};
+pub use finding::{Finding, Report};
+pub use log::{Format, Level, Log};
+pub use secret::Secret;
+pub use standin::Standin;
+
+/// Exit code of a process whose settings have findings.
+pub const EXIT_FINDINGS: u8 = 2;
