Add the replicated catalog

Control instances and entries need one deterministic state machine for settings, targets, terms and entries.

--- /dev/null
+++ b/components/catalog/src/catalog.rs
@@ -0,0 +1,140 @@
+//! The replicated state and the queries on it.
+
+use std::collections::BTreeMap;
+
+use types::target::{Announcement, State};
+use types::{Name, Revision};
+
+use crate::answers::Answers;
+use crate::change::Winner;
+use crate::database::Database;
+use crate::generated::Values;
+use crate::path::Path;
+use crate::target::Target;
+use crate::tree::Tree;
+
+/// Operators' mark of a target that was retired.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Retired {
+    pub state: State,
+    pub winner: Winner,
+}
+
+/// The replicated state.
+///
+/// Two catalogs of the same organisation that applied the same commands are equal.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Catalog {
+    pub(crate) revision: Revision,
+    pub(crate) organisation: Name,
+    pub(crate) tree: Tree,
+    pub(crate) targets: BTreeMap<Name, Target>,
+    /// Kept so that a scrapped target that goes on announcing itself gets no work.
+    pub(crate) retired: BTreeMap<Name, Retired>,
+    pub(crate) databases: BTreeMap<Name, Database>,
+    /// Enrolled entries with their failure domains.
+    pub(crate) entries: BTreeMap<Name, Name>,
+    pub(crate) answers: Answers,
+}
+
+impl Catalog {
+    /// An empty catalog of `organisation`, the first name of every path.
+    #[must_use]
+    pub fn new(organisation: Name) -> Self {
+        Self {
+            revision: Revision::default(),
+            organisation,
+            tree: Tree::default(),
+            targets: BTreeMap::new(),
+            retired: BTreeMap::new(),
+            databases: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            answers: Answers::default(),
+        }
+    }
+
+    /// Revision of the last command applied.
+    #[must_use]
+    pub const fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// First name of every path.
+    #[must_use]
+    pub const fn organisation(&self) -> &Name {
+        &self.organisation
+    }
+
+    /// The settings tree.
+    #[must_use]
+    pub const fn tree(&self) -> &Tree {
+        &self.tree
+    }
+
+    /// Settings of the whole organisation; those of leases come from here.
+    #[must_use]
+    pub fn values(&self) -> Values {
+        self.tree.effective(&Path::root(&self.organisation))
+    }
+
+    /// The target called `name`, with its state, effective settings and limits.
+    #[must_use]
+    pub fn target(&self, name: &str) -> Option<&Target> {
+        self.targets.get(name)
+    }
+
+    /// All targets by name.
+    pub fn targets(&self) -> impl Iterator<Item = (&Name, &Target)> {
+        self.targets.iter()
+    }
+
+    /// Path of the target called `name` in the settings tree.
+    #[must_use]
+    pub fn path(&self, name: &str) -> Option<Path> {
+        let target = self.targets.get(name)?;
+        Some(self.path_of(&target.announcement))
+    }
+
+    /// The database called `name`.
+    #[must_use]
+    pub fn database(&self, name: &str) -> Option<&Database> {
+        self.databases.get(name)
+    }
+
+    /// All databases by name.
+    pub fn databases(&self) -> impl Iterator<Item = (&Name, &Database)> {
+        self.databases.iter()
+    }
+
+    /// Targets of the database called `name`, the primary among them, by name.
+    pub fn members<'a>(&'a self, name: &'a str) -> impl Iterator<Item = (&'a Name, &'a Target)> {
+        self.targets
+            .iter()
+            .filter(move |(_, target)| target.announcement.database.as_str() == name)
+    }
+
+    /// Enrolled entries with their failure domains.
+    pub fn entries(&self) -> impl Iterator<Item = (&Name, &Name)> {
+        self.entries.iter()
+    }
+
+    /// Whether the entry called `name` is enrolled.
+    #[must_use]
+    pub fn is_enrolled(&self, name: &str) -> bool {
+        self.entries.contains_key(name)
+    }
+
+    /// Whether `announcement` says something new that the catalog would accept.
+    ///
+    /// An announcement that would be refused is no news: it would be committed again each time.
+    #[must_use]
+    pub fn is_news(&self, announcement: &Announcement) -> bool {
+        let known = self.targets.get(&announcement.target);
+        known.is_none_or(|target| target.announcement != *announcement)
+            && self.check_announcement(announcement).is_empty()
+    }
+
+    pub(crate) fn path_of(&self, announcement: &Announcement) -> Path {
+        Path::of(&self.organisation, announcement)
+    }
+}
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -2,6 +2,88 @@
 use serde::{Serialize, Deserialize};
 use serde_bytes::ByteBuf as Bytes;
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Finding {
+    pub path: String,
+    pub text: String,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Winner {
+    pub revision: u64,
+    pub request: String,
+    pub operator: String,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    Applied(u64),
+    Unchanged,
+    Conflict(Winner),
+    Refused(Vec<Finding>),
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    pub request: String,
+    pub digest: u32,
+    pub outcome: Outcome,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Phase {
+    Steady,
+    Fenced { term: u64, hold: bool },
+    Chosen { term: u64, target: String },
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Point {
+    pub term: u64,
+    pub lsn: u64,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Database {
+    pub name: String,
+    pub service: String,
+    pub group: String,
+    pub primary: Option<String>,
+    pub terms: Vec<Point>,
+    pub phase: Phase,
+    pub since: u64,
+    pub acks: u32,
+    pub reason: String,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Instance {
+    pub instance: String,
+    pub domain: String,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Value {
+    pub key: String,
+    pub value: u32,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Node {
+    pub path: String,
+    pub values: Vec<Value>,
+    pub winner: Winner,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    pub path: String,
+    pub key: String,
+    pub value: Option<u32>,
+    pub winner: Winner,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum State {
+    Serving,
+    Draining,
+    Leaving,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Retired {
+    pub target: String,
+    pub state: State,
+    pub winner: Winner,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Role {
     Primary,
     Replica,
@@ -21,18 +103,31 @@
     pub slots: u32,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    pub announcement: Announcement,
+    pub state: State,
+    pub winner: Option<Winner>,
+    pub changed: u64,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Catalog {
+    pub revision: u64,
+    pub organisation: String,
+    pub nodes: Vec<Node>,
+    pub records: Vec<Record>,
+    pub targets: Vec<Target>,
+    pub retired: Vec<Retired>,
+    pub databases: Vec<Database>,
+    pub instances: Vec<Instance>,
+    pub answers: Vec<Answer>,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Change {
     pub base: u64,
     pub request: String,
     pub operator: String,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub enum State {
-    Serving,
-    Draining,
-    Leaving,
-}
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     Set { path: String, key: String, value: Option<String>, change: Change },
     Announce(Announcement),
@@ -50,11 +145,6 @@
     pub connections: u32,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Point {
-    pub term: u64,
-    pub lsn: u64,
-}
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Health {
     pub target: String,
     pub role: Role,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -8,6 +8,7 @@
 
 mod messages;
 mod settings;
+mod tree;
 
 /// Generated files by their path below the repository root.
 type Files = BTreeMap<PathBuf, String>;
@@ -19,6 +20,7 @@
     let mut files = Files::new();
     messages::generate(root, &mut files)?;
     settings::generate(root, &mut files)?;
+    tree::generate(root, &mut files)?;
     match std::env::args().nth(1).as_deref() {
         Some("generate") => write(root, &files),
         Some("check") => check(root, &files),
