Carry age, confirmed quotas and the end of an entry in renewals

Cause: a leader must know whether an entry's process may have replaced one that still holds a lease, and which quotas it keeps to; control instances need each other's disk identities before the first election.

Change: Renew gains age_ms and confirmed, Up gains Bye, Body gains Hello.

--- a/components/link/tests/stream.rs
+++ b/components/link/tests/stream.rs
@@ -13,6 +13,8 @@
 fn renew(seq: u64) -> Up {
     Up::Renew {
         seq,
+        age_ms: 0,
+        confirmed: 0,
         revision: 0,
         demand: vec![],
         health: vec![],
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -156,11 +156,14 @@
     Hello { version: u32, instance: String, domain: String, boot: u64, revision: u64 },
     Renew {
         seq: u64,
+        age_ms: u64,
         revision: u64,
+        confirmed: u64,
         demand: Vec<Demand>,
         health: Vec<Health>,
         announcements: Vec<Announcement>,
     },
+    Bye,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Seat {
@@ -209,6 +212,7 @@
         done: bool,
     },
     SnapshotReply { offset: u64 },
+    Hello { version: u32, address: String, blank: bool },
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Quota {
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -20,6 +20,8 @@
     let announcements = vec![announcement];
     Up::Renew {
         seq: 7,
+        age_ms: 1,
+        confirmed: 6,
         revision: 9,
         demand: vec![],
         health: vec![],
