--- a/components/catalog/src/apply.rs
+++ b/components/catalog/src/apply.rs
@@ -1,5 +1,7 @@
 //! Applying a command.
 
+use std::collections::BTreeSet;
+
 use types::target::{Announcement, State};
 use types::{Name, Revision};
 
@@ -234,7 +236,8 @@
 
     fn add_database(&mut self, announcement: &Announcement) {
         let revision = self.revision;
-        self.databases
+        let database = self
+            .databases
             .entry(announcement.database.clone())
             .or_insert_with(|| Database {
                 service: announcement.service.clone(),
@@ -242,10 +245,13 @@
                 primary: None,
                 history: types::database::History::default(),
                 phase: Phase::Steady,
+                held: false,
                 since: revision,
                 acks: 0,
                 reason: String::new(),
+                members: BTreeSet::new(),
             });
+        database.members.insert(announcement.target.clone());
     }
 
     fn mark(&mut self, name: &Name, state: State, change: &Change) -> Outcome {
@@ -306,6 +312,9 @@
             self.keep_mark(name, Retired { state, winner });
         }
         self.targets.remove(name);
+        if let Some(database) = self.databases.get_mut(&key) {
+            database.members.remove(name);
+        }
         if last {
             self.databases.remove(&key);
         }
--- a/components/catalog/src/catalog.rs
+++ b/components/catalog/src/catalog.rs
@@ -107,10 +107,10 @@
     }
 
     /// Targets of the database called `name`, the primary among them, by name.
-    pub fn members<'a>(&'a self, name: &'a str) -> impl Iterator<Item = (&'a Name, &'a Target)> {
-        self.targets
-            .iter()
-            .filter(move |(_, target)| target.announcement.database.as_str() == name)
+    pub fn members(&self, name: &str) -> impl Iterator<Item = (&Name, &Target)> {
+        let database = self.databases.get(name);
+        let names = database.into_iter().flat_map(|d| &d.members);
+        names.filter_map(|name| self.targets.get_key_value(name))
     }
 
     /// Enrolled entries with their failure domains.
--- a/components/catalog/src/database.rs
+++ b/components/catalog/src/database.rs
@@ -1,5 +1,7 @@
 //! Databases: terms, primary and the phase of a change of primary.
 
+use std::collections::BTreeSet;
+
 use types::database::History;
 use types::{Name, Revision, Term};
 
@@ -34,10 +36,14 @@
     pub(crate) primary: Option<Name>,
     pub(crate) history: History,
     pub(crate) phase: Phase,
+    /// In phase `Chosen`: whether the fence was one with hold.
+    pub(crate) held: bool,
     pub(crate) since: Revision,
     /// Least `write.acks` above 0 in force since the term began; 0 if there was none.
     pub(crate) acks: u32,
     pub(crate) reason: String,
+    /// Derived from the targets; kept so that a lookup doesn't go through all of them.
+    pub(crate) members: BTreeSet<Name>,
 }
 
 impl Database {
@@ -89,7 +95,11 @@
     /// Whether new writes wait for the end of a planned switch.
     #[must_use]
     pub const fn is_held(&self) -> bool {
-        matches!(self.phase, Phase::Fenced { hold: true, .. })
+        match self.phase {
+            Phase::Steady => false,
+            Phase::Fenced { hold, .. } => hold,
+            Phase::Chosen { .. } => self.held,
+        }
     }
 
     /// Revision at which the phase was entered.
--- a/components/catalog/src/phase.rs
+++ b/components/catalog/src/phase.rs
@@ -48,6 +48,7 @@
         if database.primary.as_ref() == Some(target) {
             return Outcome::refused(target.as_str(), "is the old primary");
         }
+        database.held = database.is_held();
         database.since = revision;
         database.phase = Phase::Chosen {
             term,
@@ -80,6 +81,7 @@
         }
         database.since = revision;
         database.phase = Phase::Steady;
+        database.held = false;
         database.primary = Some(target.clone());
         Outcome::Applied(revision)
     }
--- a/components/catalog/src/snapshot.rs
+++ b/components/catalog/src/snapshot.rs
@@ -1,6 +1,6 @@
 //! Snapshots: the whole catalog as bytes.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use anyhow::{Context, Error, Result, anyhow, ensure};
 use types::database::History;
@@ -62,11 +62,19 @@
             records: records.context("records")?,
         };
         let targets = raw.targets.into_iter();
-        let targets: Result<_> = targets
+        let targets: Result<BTreeMap<_, _>> = targets
             .map(|t| to_target(t, &organisation, &tree))
             .collect();
+        let targets = targets.context("targets")?;
         let retired: Result<_> = raw.retired.into_iter().map(to_retired).collect();
-        let databases: Result<_> = raw.databases.into_iter().map(to_database).collect();
+        let databases: Result<BTreeMap<_, _>> =
+            raw.databases.into_iter().map(to_database).collect();
+        let mut databases = databases.context("databases")?;
+        for (name, target) in &targets {
+            let database = databases.get_mut(&target.announcement.database);
+            let database = database.with_context(|| format!("database of target {name}"))?;
+            database.members.insert(name.clone());
+        }
         let entries: Result<_> = raw.instances.into_iter().map(to_entry).collect();
         let mut answers = Answers::default();
         for raw in raw.answers {
@@ -75,9 +83,9 @@
         }
         Ok(Self {
             revision: Revision(raw.revision),
-            targets: targets.context("targets")?,
+            targets,
             retired: retired.context("retired")?,
-            databases: databases.context("databases")?,
+            databases,
             entries: entries.context("instances")?,
             organisation,
             tree,
@@ -207,6 +215,7 @@
         primary: core.primary.as_ref().map(ToString::to_string),
         terms: core.history.starts().iter().map(term).collect(),
         phase: (&core.phase).into(),
+        held: core.held,
         since: core.since.0,
         acks: core.acks,
         reason: core.reason.clone(),
@@ -228,9 +237,11 @@
         primary: raw.primary.map(Name::try_from).transpose()?,
         history,
         phase: raw.phase.try_into()?,
+        held: raw.held,
         since: Revision(raw.since),
         acks: raw.acks,
         reason: raw.reason,
+        members: BTreeSet::new(),
     };
     Ok((Name::try_from(raw.name)?, database))
 }
--- a/components/catalog/src/tree.rs
+++ b/components/catalog/src/tree.rs
@@ -193,6 +193,21 @@
         self.nodes.get(path).map(|node| &node.winner)
     }
 
+    /// Greatest value that `key` had at `path` itself, as far as the latest changes tell.
+    ///
+    /// A new leader counts leases of earlier leaders with it, as a lease may be older than the last
+    /// change of its length.
+    #[must_use]
+    pub fn greatest(&self, path: &Path, key: Key) -> u32 {
+        let own = |record: &&Record| record.key == key && record.path == *path;
+        let changes = self.records.iter().filter(own);
+        let past = changes.map(|record| record.value.unwrap_or(key.spec().default));
+        let first = key.spec().default;
+        past.chain([self.effective(path).get(key), first])
+            .max()
+            .unwrap_or(first)
+    }
+
     /// The latest changes, oldest first.
     pub fn records(&self) -> impl DoubleEndedIterator<Item = &Record> {
         self.records.iter()
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -44,6 +44,7 @@
     pub primary: Option<String>,
     pub terms: Vec<Point>,
     pub phase: Phase,
+    pub held: bool,
     pub since: u64,
     pub acks: u32,
     pub reason: String,
