--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -100,13 +100,16 @@
     }
 
     /// Starts a new cluster on a blank node. Every first member gets the same list.
+    ///
+    /// May be repeated after a restart that lost the list: epoch 1 has no election, so that a
+    /// node in it has given no vote.
     pub fn on_bootstrap(
         &mut self,
         now: Instant,
         members: &[Member],
         out: &mut Vec<Action>,
     ) -> Result<(), Refusal> {
-        let blank = self.epoch == Epoch::default() && self.log.last() == Position::default();
+        let blank = self.epoch <= Epoch(1) && self.log.last() == Position::default();
         if self.failed {
             return Err(Refusal::Failed);
         }
