--- /dev/null
+++ b/components/admin/src/path.rs
@@ -0,0 +1,51 @@
+//! Nodes of the settings tree, as requests name them.
+
+use std::fmt;
+
+use types::Name;
+
+/// Levels of the tree: organisation, region, domain, service, database, group and target.
+const LEVELS: usize = 7;
+
+/// A node of the settings tree.
+///
+/// Invariant: up to seven names separated by slashes; empty for the root.
+#[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Path(String);
+
+impl Path {
+    /// The path as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Names from the root down.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.0.split('/').filter(|name| !name.is_empty())
+    }
+}
+
+impl TryFrom<&str> for Path {
+    type Error = String;
+
+    fn try_from(raw: &str) -> Result<Self, String> {
+        if raw.is_empty() {
+            return Ok(Self::default());
+        }
+        let names: Vec<&str> = raw.split('/').collect();
+        if names.len() > LEVELS {
+            return Err(format!("has more than {LEVELS} levels"));
+        }
+        for name in names {
+            Name::try_from(name).map_err(|error| error.to_string())?;
+        }
+        Ok(Self(raw.to_owned()))
+    }
+}
+
+impl fmt::Display for Path {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -9,8 +9,9 @@
 use base64::engine::general_purpose::STANDARD;
 use serde_json::Value;
 
-use crate::file::{Invalid, Ports};
+use crate::file::Ports;
 use crate::finding::Findings;
+use crate::schema::Invalid;
 
 /// A document under check.
 #[derive(Debug)]
--- a/components/settings/src/control.rs
+++ b/components/settings/src/control.rs
@@ -7,8 +7,9 @@
 use types::Name;
 
 use crate::check::{Check, address, convert};
-use crate::file::{Invalid, Kind};
+use crate::file::Kind;
 use crate::generated::control as raw;
+use crate::schema::Invalid;
 use crate::{Log, Secret};
 
 /// Settings of a control process.
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -8,8 +8,9 @@
 use types::Name;
 
 use crate::check::{Check, address, bytes, convert};
-use crate::file::{Invalid, Kind};
+use crate::file::Kind;
 use crate::generated::entry as raw;
+use crate::schema::Invalid;
 use crate::{Log, Secret};
 
 /// Bytes of a SCRAM-SHA-256 salted password: the output of SHA-256.
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -3,12 +3,12 @@
 use std::fs;
 use std::path::Path;
 
-use jsonschema::error::ValidationErrorKind;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::check::Check;
 use crate::finding::{Findings, Report};
+use crate::schema::{Invalid, Schema};
 
 /// Settings of one kind of process.
 pub trait Kind: Sized + TryFrom<Self::Raw, Error = Invalid> {
@@ -20,15 +20,6 @@
     fn check(check: &mut Check<'_, '_>);
 }
 
-/// A checked document that still has no typed form.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Invalid {
-    /// JSON pointer of the value.
-    pub path: String,
-    /// What is wrong there.
-    pub text: String,
-}
-
 /// Which ports an address may name.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ports {
@@ -83,7 +74,14 @@
             return None;
         }
     };
-    validate(T::SCHEMA, &document, findings);
+    match Schema::new(T::SCHEMA, None) {
+        Ok(schema) => {
+            for Invalid { path, text } in schema.check(&document) {
+                findings.push(path, text);
+            }
+        }
+        Err(error) => findings.push("", format!("the schema is broken: {error:#}")),
+    }
     T::check(&mut Check::new(&document, ports, findings));
     if !findings.is_empty() {
         return None;
@@ -99,30 +97,3 @@
         .map_err(|invalid| findings.push(invalid.path, invalid.text))
         .ok()
 }
-
-fn validate(schema: &str, document: &Value, findings: &mut Findings<'_>) {
-    let validator = serde_json::from_str(schema)
-        .map_err(|error| error.to_string())
-        .and_then(|schema: Value| {
-            jsonschema::validator_for(&schema).map_err(|error| error.to_string())
-        });
-    let validator = match validator {
-        Ok(validator) => validator,
-        Err(error) => return findings.push("", format!("the schema is broken: {error}")),
-    };
-    for error in validator.iter_errors(document) {
-        let path = error.instance_path().as_str();
-        match error.kind() {
-            ValidationErrorKind::AdditionalProperties { unexpected } => {
-                for key in unexpected {
-                    findings.push(format!("{path}/{key}"), "unknown key");
-                }
-            }
-            ValidationErrorKind::Required { property } => {
-                let key = property.as_str().unwrap_or_default();
-                findings.push(format!("{path}/{key}"), "missing");
-            }
-            _ => findings.push(path, error.masked().to_string()),
-        }
-    }
-}
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -10,6 +10,7 @@
 mod file;
 mod finding;
 mod log;
+mod schema;
 mod secret;
 mod standin;
 
@@ -30,6 +31,7 @@
 pub use file::{Kind, Ports, load, load_with, parse};
 pub use finding::{Finding, Report};
 pub use log::{Format, Level, Log};
+pub use schema::{Invalid, Schema};
 pub use secret::Secret;
 pub use standin::Standin;
 
