--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,8 @@
+//! Subcommands.
+
+pub mod check;
+pub mod members;
+pub mod settings;
+pub mod status;
+pub mod switch;
+pub mod targets;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,3 @@
+//! What the processes share: their command line.
+
+pub mod args;
