--- a/components/lease/src/grant.rs
+++ b/components/lease/src/grant.rs
@@ -49,6 +49,8 @@
 pub struct Table {
     ttl: Duration,
     span: Duration,
+    /// Age by which an entry's own start has outlived all leases of an earlier one.
+    settled_age: Duration,
     grace: Instant,
     holders: BTreeMap<Name, Holder>,
 }
@@ -63,8 +65,9 @@
 }
 
 impl Table {
-    /// A table for a leader elected at `now`. Leases of up to `ttl` that an earlier leader may have
-    /// granted to any of `enrolled` are unknown until the grace deadline.
+    /// A table for a leader elected at `now`. Leases that an earlier leader may have granted to any
+    /// of `enrolled` are unknown until the grace deadline. `ttl` and `drift_ppm` are the greatest
+    /// that an earlier leader may have used; [`Table::set_ttl`] sets the present ones.
     pub fn new<'a>(
         now: Instant,
         ttl: Duration,
@@ -76,6 +79,7 @@
         Self {
             ttl,
             span,
+            settled_age: self::span(span, drift_ppm),
             grace: now + span,
             holders: enrolled.into_iter().map(holder).collect(),
         }
@@ -128,7 +132,7 @@
 
     /// Takes in a renewal. False if the entry is unknown or a later start has replaced it.
     pub fn renew(&mut self, now: Instant, renewal: &Renewal<'_>) -> bool {
-        let (grace, span) = (self.grace, self.span);
+        let (grace, age) = (self.grace, self.settled_age);
         let Some(holder) = self.holders.get_mut(renewal.instance) else {
             return false;
         };
@@ -139,7 +143,7 @@
         holder.confirm(renewal.boot, renewal.revision);
         // A process younger than a lease may have replaced one whose lease from the earlier leader
         // is still valid.
-        if !holder.settled && renewal.age >= span {
+        if !holder.settled && renewal.age >= age {
             holder.settled = true;
             holder.grants.push(Grant {
                 boot: renewal.boot,
