--- a/components/failover/src/step.rs
+++ b/components/failover/src/step.rs
@@ -32,6 +32,9 @@
 /// Pause after a planned switch that was undone, so that callers are not held again at once.
 const PAUSE: Duration = Duration::from_secs(10);
 
+/// Time for the watchers of a new primary to learn of it with the next grants and to report.
+const SETTLE: Duration = Duration::from_secs(1);
+
 /// A step that takes longer than this is told to the operator.
 const PATIENCE: Duration = Duration::from_secs(3);
 
@@ -167,17 +170,23 @@
         self.follow(primary);
         let state = self.catalog.target(primary.as_str()).map(|t| t.state());
         match self.signals.verdict {
-            Verdict::Failed { silent } => self.fail(term, silent),
+            Verdict::Failed { silent } if self.may_fail() => self.fail(term, silent),
             Verdict::Healthy => {
                 self.clock.failed = None;
+                self.work.healthy = true;
                 if state != Some(State::Serving) {
                     self.plan(term);
                 }
             }
-            Verdict::Unknown => {}
+            Verdict::Failed { .. } | Verdict::Unknown => {}
         }
     }
 
+    /// Silence counts once the primary was seen healthy in this phase, or had time to be.
+    fn may_fail(&self) -> bool {
+        self.work.healthy || self.now >= self.work.entered + SETTLE
+    }
+
     /// Points replicas at the primary. Repeated by each new leader, since an earlier one may have
     /// been lost just after the change.
     fn follow(&mut self, primary: &Name) {
--- a/components/failover/src/work.rs
+++ b/components/failover/src/work.rs
@@ -31,6 +31,8 @@
     pub start: Option<Lsn>,
     /// Position of the primary before a planned switch.
     pub mark: Option<(Instant, Lsn)>,
+    /// The primary was seen healthy in this phase.
+    pub healthy: bool,
     pub followed: Option<Instant>,
     pub following: BTreeSet<Name>,
     pub told: Option<Reason>,
@@ -50,6 +52,7 @@
             sent: None,
             start: None,
             mark: None,
+            healthy: false,
             followed: None,
             following: BTreeSet::new(),
             told: None,
--- a/components/lease/tests/quota.rs
+++ b/components/lease/tests/quota.rs
@@ -114,3 +114,20 @@
     assert_eq!(control.renew("e1", 2, 0), Some(2), "a reduction is named");
     assert_eq!(control.renew("e1", 3, 0), None);
 }
+
+/// An entry without its floor yet must get it: others may not take that room meanwhile.
+#[test]
+fn a_new_entry_waits_for_room_and_keeps_its_floor_reserved() {
+    let mut control = Control::new(&["e1", "e2"]);
+    assert_eq!(control.renew("e1", 0, 40), Some(18));
+    control.split.enroll(&name("late"));
+    assert_eq!(control.renew("late", 0, 1), Some(0), "no room yet");
+    assert_eq!(control.renew("e1", 1, 10), Some(10));
+    assert_eq!(control.renew("e1", 3, 10), Some(10));
+    assert_eq!(
+        control.renew("e2", 0, 40),
+        Some(8),
+        "20 less 10 of e1 and 2 of late"
+    );
+    assert_eq!(control.renew("late", 2, 1), None, "the floor");
+}
