Run entry and control as processes

Cause: the areas need one path from a caller to a target and back, with leases, settings and the registry coming from control.

Change: the entry's loop (callers, exchanges, queues, watches, held acknowledgements) and the control's loop (log, disk, members, leases, changes of primary), each one task that owns all state, with binaries.

--- /dev/null
+++ b/components/control/src/act.rs
@@ -0,0 +1,122 @@
+//! Actions of changes of primary: proposals and commands to targets.
+
+use std::time::Instant;
+
+use anyhow::Result;
+use failover::{Action, Reason};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use types::Name;
+
+use crate::event::Event;
+use crate::process::{Loop, Waiter};
+use crate::target::Target;
+
+impl Loop {
+    pub(crate) fn act(&mut self, now: Instant, actions: Vec<(Name, Action)>) -> Result<()> {
+        for (database, action) in actions {
+            match action {
+                Action::Propose(command) => {
+                    tracing::info!(%database, ?command, "change of primary");
+                    if self
+                        .propose(now, &command, Waiter::Machine(database))?
+                        .is_err()
+                    {
+                        self.metrics.common.retries.add("proposal");
+                    }
+                }
+                Action::Query { target, round } => {
+                    let Some(address) = self.address(&database, &target) else {
+                        continue;
+                    };
+                    start(&self.events, "position", async move {
+                        let position = address.position().await?;
+                        Ok(Event::Position {
+                            database,
+                            target,
+                            round,
+                            position,
+                        })
+                    });
+                }
+                Action::Promote { target, term } => {
+                    let Some(address) = self.address(&database, &target) else {
+                        continue;
+                    };
+                    start(&self.events, "promote", async move {
+                        let (term, start) = address.promote(term).await?;
+                        Ok(Event::Promoted {
+                            database,
+                            target,
+                            term,
+                            start,
+                        })
+                    });
+                }
+                Action::Follow { target, primary } => {
+                    let Some(address) = self.address(&database, &target) else {
+                        continue;
+                    };
+                    let Some(source) = self.address(&database, &primary) else {
+                        continue;
+                    };
+                    start(&self.events, "follow", async move {
+                        address.follow(source.address).await?;
+                        Ok(Event::Following {
+                            database,
+                            target,
+                            primary,
+                        })
+                    });
+                }
+                Action::GiveUp(reason) => {
+                    tracing::warn!(%database, %reason, "change of primary makes no progress");
+                    self.metrics.stalled.add(label(&reason));
+                }
+                Action::Observe(stage, took) => {
+                    tracing::info!(%database, ?stage, ms = took.as_millis(), "stage of a change");
+                    self.metrics.stage(stage).observe(took.as_secs_f64());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn address(&self, database: &Name, target: &Name) -> Option<Target> {
+        let address = self.catalog.target(target.as_str())?.announcement().address;
+        let user = self.settings.target_user.clone();
+        Some(Target {
+            address,
+            user,
+            database: database.to_string(),
+        })
+    }
+}
+
+/// Runs a command in a task of its own; a failure is counted and the machine asks again.
+fn start(
+    events: &mpsc::Sender<Event>,
+    kind: &'static str,
+    command: impl Future<Output = Result<Event>> + 'static,
+) {
+    let events = events.clone();
+    spawn_local(async move {
+        let event = command.await.unwrap_or_else(|error| {
+            tracing::debug!(kind, error = %format!("{error:#}"), "command to a target failed");
+            Event::CommandFailed(kind)
+        });
+        let _ended = events.send(event).await;
+    });
+}
+
+fn label(reason: &Reason) -> &'static str {
+    match reason {
+        Reason::NoReplica => "no_replica",
+        Reason::TooFew { .. } => "too_few",
+        Reason::NoSinglePrimary => "no_single_primary",
+        Reason::NoPromotion(_) => "no_promotion",
+        Reason::OtherTerm(..) => "other_term",
+        Reason::Undone => "undone",
+        Reason::Refused(_) => "refused",
+    }
+}
--- /dev/null
+++ b/components/control/src/lead.rs
@@ -0,0 +1,296 @@
+//! What only the leader holds: leases, quotas, health and changes of primary. All of it is in
+//! memory and begins anew with each leader.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use catalog::{Catalog, Phase};
+use failover::{Action, Machine, Signals, Verdict, Watch};
+use lease::grant::{Renewal, Table};
+use lease::quota::{Answer, Quota, Split};
+use types::target::Announcement;
+use types::{Name, Revision};
+
+/// Interval of the steps of a database that is changing its primary.
+const ACTIVE: Duration = Duration::from_millis(20);
+/// Interval of the steps of every database.
+const STEADY: Duration = Duration::from_millis(250);
+
+/// A renewal with checked contents.
+#[derive(Debug)]
+pub struct Renewed {
+    /// Number of the renewal.
+    pub seq: u64,
+    /// Time since the entry's start.
+    pub age: Duration,
+    /// Catalog revision that it has applied.
+    pub revision: Revision,
+    /// Latest grant whose quotas it keeps to.
+    pub confirmed: u64,
+    /// Connections that it wants.
+    pub demand: Vec<(Name, u32)>,
+    /// Time since the last answer of each target that it watches.
+    pub silence: Vec<(Name, Duration)>,
+}
+
+/// What a renewal is answered with.
+#[derive(Debug)]
+pub struct Granted {
+    /// Length of the lease.
+    pub ttl: Duration,
+    /// Quotas other than the floors.
+    pub quotas: Vec<Quota>,
+}
+
+/// State of a leader.
+#[derive(Debug)]
+pub struct Lead {
+    grants: Table,
+    split: Split,
+    watches: BTreeMap<Name, Watch>,
+    machines: BTreeMap<Name, Machine>,
+    /// Databases with a change under way.
+    active: BTreeSet<Name>,
+    active_at: Instant,
+    steady_at: Instant,
+    /// Announcements proposed and not applied yet, so that each is proposed once.
+    proposed: BTreeMap<Name, Announcement>,
+    /// Entries whose enrolment is proposed.
+    enrolling: BTreeSet<Name>,
+}
+
+impl Lead {
+    /// State of a leader whose catalog holds every command that was committed before its epoch.
+    #[must_use]
+    pub fn new(now: Instant, catalog: &Catalog) -> Self {
+        let values = catalog.values();
+        let ttl = Duration::from_millis(values.lease_ttl_ms.into());
+        let enrolled: Vec<&Name> = catalog.entries().map(|(name, _)| name).collect();
+        let grants = Table::new(now, ttl, values.lease_drift_ppm, enrolled.iter().copied());
+        let split = Split::new(grants.grace(), enrolled.iter().copied());
+        let mut lead = Self {
+            grants,
+            split,
+            watches: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            active: BTreeSet::new(),
+            active_at: now,
+            steady_at: now,
+            proposed: BTreeMap::new(),
+            enrolling: BTreeSet::new(),
+        };
+        lead.on_catalog(catalog);
+        lead
+    }
+
+    /// Follows a change of the catalog.
+    pub fn on_catalog(&mut self, catalog: &Catalog) {
+        let values = catalog.values();
+        self.grants.set_ttl(
+            Duration::from_millis(values.lease_ttl_ms.into()),
+            values.lease_drift_ppm,
+        );
+        for (name, _) in catalog.entries() {
+            self.grants.enroll(name);
+            self.split.enroll(name);
+        }
+        for (name, target) in catalog.targets() {
+            self.split
+                .set(name, target.limit(), target.values().connections_floor);
+        }
+        self.proposed
+            .retain(|_, announcement| catalog.is_news(announcement));
+        self.enrolling
+            .retain(|name| !catalog.is_enrolled(name.as_str()));
+        for (name, database) in catalog.databases() {
+            self.machines
+                .entry(name.clone())
+                .or_insert_with(|| Machine::new(name.clone()));
+            if *database.phase() != Phase::Steady || database.primary().is_none() {
+                self.active.insert(name.clone());
+            }
+        }
+    }
+
+    /// An entry was dismissed.
+    pub fn on_dismissed(&mut self, instance: &Name) {
+        self.grants.dismiss(instance.as_str());
+        self.split.dismiss(instance.as_str());
+        for watch in self.watches.values_mut() {
+            watch.forget(instance.as_str());
+        }
+    }
+
+    /// A target was retired.
+    pub fn on_retired(&mut self, target: &Name) {
+        self.split.forget(target.as_str());
+        self.watches.remove(target);
+    }
+
+    /// Leases.
+    #[must_use]
+    pub fn grants(&self) -> &Table {
+        &self.grants
+    }
+
+    /// Leases, for dismissals and ends.
+    pub fn grants_mut(&mut self) -> &mut Table {
+        &mut self.grants
+    }
+
+    /// Whether the enrolment of an entry has to be proposed now.
+    pub fn wants_enrolment(&mut self, instance: &Name, catalog: &Catalog) -> bool {
+        !catalog.is_enrolled(instance.as_str()) && self.enrolling.insert(instance.clone())
+    }
+
+    /// Whether an announcement has to be proposed now.
+    pub fn wants(&mut self, announcement: &Announcement, catalog: &Catalog) -> bool {
+        if !catalog.is_news(announcement)
+            || self.proposed.get(&announcement.target) == Some(announcement)
+        {
+            return false;
+        }
+        self.proposed
+            .insert(announcement.target.clone(), announcement.clone());
+        true
+    }
+
+    /// A proposal was lost; it may be made again.
+    pub fn forget_proposals(&mut self) {
+        self.proposed.clear();
+        self.enrolling.clear();
+    }
+
+    /// Takes in a renewal and grants a lease, unless the entry may have none.
+    pub fn renew(
+        &mut self,
+        now: Instant,
+        instance: &Name,
+        boot: u64,
+        renewed: &Renewed,
+        catalog: &Catalog,
+    ) -> Option<Granted> {
+        let renewal = Renewal {
+            instance,
+            boot,
+            age: renewed.age,
+            revision: renewed.revision,
+        };
+        if !self.grants.renew(now, &renewal) {
+            return None;
+        }
+        for (target, silent) in &renewed.silence {
+            if catalog.target(target.as_str()).is_some() {
+                self.watches
+                    .entry(target.clone())
+                    .or_default()
+                    .on_report(now, instance, *silent);
+                self.wake(target, *silent, catalog);
+            }
+        }
+        self.split
+            .on_renewal(instance, boot, renewed.confirmed, &renewed.demand);
+        let (ttl, deadline) =
+            self.grants
+                .grant(now, instance.as_str(), boot, catalog.revision())?;
+        let mut quotas = Vec::new();
+        let answer = Answer {
+            instance,
+            boot,
+            seq: renewed.seq,
+            deadline,
+        };
+        self.split.grant(now, &answer, &mut quotas);
+        Some(Granted { ttl, quotas })
+    }
+
+    /// Looks at a database at once if its primary is silent, and at those that wait for entries.
+    fn wake(&mut self, target: &Name, silent: Duration, catalog: &Catalog) {
+        let Some(target) = catalog.target(target.as_str()) else {
+            return;
+        };
+        let detect = Duration::from_millis(target.values().health_detect_ms.into());
+        if silent > detect {
+            self.active.insert(target.announcement().database.clone());
+        }
+    }
+
+    /// When a step is due next.
+    #[must_use]
+    pub fn deadline(&self) -> Instant {
+        if self.active.is_empty() {
+            self.steady_at
+        } else {
+            self.steady_at.min(self.active_at)
+        }
+    }
+
+    /// Steps the databases that are due, or all with a change under way if `now_active`.
+    pub fn on_tick(
+        &mut self,
+        now: Instant,
+        now_active: bool,
+        catalog: &Catalog,
+        out: &mut Vec<(Name, Action)>,
+    ) {
+        if now >= self.steady_at {
+            self.steady_at = now + STEADY;
+            self.active.extend(self.machines.keys().cloned());
+        }
+        if !now_active && now < self.active_at {
+            return;
+        }
+        self.active_at = now + ACTIVE;
+        for name in std::mem::take(&mut self.active) {
+            if self.step(now, &name, catalog, out) {
+                self.active.insert(name);
+            }
+        }
+    }
+
+    /// Steps one database. True if a change is under way.
+    fn step(
+        &mut self,
+        now: Instant,
+        name: &Name,
+        catalog: &Catalog,
+        out: &mut Vec<(Name, Action)>,
+    ) -> bool {
+        let Some(database) = catalog.database(name.as_str()) else {
+            return false;
+        };
+        let signals = Signals {
+            verdict: self.verdict(now, database.primary(), catalog),
+            fenced: self.grants.fenced_by(now, database.since()),
+        };
+        let Some(machine) = self.machines.get_mut(name) else {
+            return false;
+        };
+        let mut actions = Vec::new();
+        machine.step(now, catalog, &signals, &mut actions);
+        out.extend(actions.into_iter().map(|action| (name.clone(), action)));
+        let changing = *database.phase() != Phase::Steady || database.primary().is_none();
+        changing || matches!(signals.verdict, Verdict::Failed { .. }) || !signals.fenced
+    }
+
+    fn verdict(&self, now: Instant, primary: Option<&Name>, catalog: &Catalog) -> Verdict {
+        let Some((primary, watch)) = primary.and_then(|name| Some((name, self.watches.get(name)?)))
+        else {
+            return Verdict::Unknown;
+        };
+        let detect = catalog
+            .target(primary.as_str())
+            .map_or(0, |t| t.values().health_detect_ms);
+        watch.verdict(
+            now,
+            self.grants.live(now),
+            Duration::from_millis(detect.into()),
+        )
+    }
+
+    /// The machine of a database.
+    pub fn machine(&mut self, database: &Name) -> Option<&mut Machine> {
+        self.active.insert(database.clone());
+        self.machines.get_mut(database)
+    }
+}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -1,1 +1,21 @@
-//! Loop of a control process.
+//! Loop of a control process: the replicated log with its disk, the catalog, leases for entries,
+//! and changes of primary.
+
+mod act;
+mod api;
+mod convert;
+mod entries;
+mod event;
+mod join;
+mod lead;
+mod log;
+mod members;
+mod metrics;
+mod peers;
+mod process;
+mod renewal;
+mod serve;
+mod store;
+mod target;
+
+pub use process::run;
--- /dev/null
+++ b/components/control/src/process.rs
@@ -0,0 +1,324 @@
+//! The loop: one task that owns all state and takes every event in turn.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result};
+use catalog::Catalog;
+use consensus::{Epoch, Identity, Node};
+use disk::{Native, Wal};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use types::Name;
+
+use crate::entries::Streams;
+use crate::event::{Event, StreamId};
+use crate::lead::Lead;
+use crate::members::Introductions;
+use crate::metrics::Set;
+use crate::peers::Peers;
+use crate::{api, store};
+
+/// Events that wait for the loop; senders wait beyond that.
+const EVENTS: usize = 4096;
+/// Events taken before timers are looked at again.
+const BATCH: usize = 256;
+/// Messages that wait for an entry's stream.
+const ENTRY_OUT: usize = 8192;
+/// Interval of introductions while the first member list is not complete.
+const GREETING: Duration = Duration::from_millis(200);
+/// First name of every settings path.
+const ORGANISATION: &str = "organisation";
+
+/// Who waits for a proposal.
+#[derive(Debug)]
+pub enum Waiter {
+    /// An operator's request.
+    Reply(api::Pending),
+    /// A change of primary.
+    Machine(Name),
+    /// Nobody.
+    None,
+}
+
+/// State of a control process.
+#[derive(Debug)]
+pub struct Loop {
+    pub(crate) settings: settings::Control,
+    pub(crate) events: mpsc::Sender<Event>,
+    pub(crate) node: Node<SmallRng>,
+    pub(crate) disk: store::Queue<Wal<Native>>,
+    pub(crate) peers: Peers,
+    pub(crate) introductions: Introductions,
+    pub(crate) streams: Streams,
+    pub(crate) catalog: Catalog,
+    /// Set while this instance leads and its catalog holds all earlier commands.
+    pub(crate) lead: Option<Lead>,
+    /// Proposals by their index, with the epoch under which they were made.
+    pub(crate) waiting: BTreeMap<u64, (Epoch, Waiter)>,
+    pub(crate) reads: BTreeMap<u64, api::Read>,
+    pub(crate) next_read: u64,
+    pub(crate) metrics: Set,
+    pub(crate) applied: u64,
+    pub(crate) compacted: u64,
+    pub(crate) greeting_at: Instant,
+    pub(crate) stopping: bool,
+}
+
+/// Runs a control process until it is told to stop.
+///
+/// # Errors
+/// Fails if the data folder can't be opened, an address can't be bound, or a write to the disk
+/// failed.
+pub async fn run(settings: settings::Control) -> Result<()> {
+    let stop = observe::stop::signal().context("signals")?;
+    let mut rng: SmallRng = rand::make_rng();
+    let (wal, opened) = Wal::open(Native, &settings.data, &mut rng)
+        .with_context(|| format!("open {}", settings.data.display()))?;
+    let link = TcpListener::bind(settings.link)
+        .await
+        .with_context(|| format!("listen on {}", settings.link))?;
+    let http = TcpListener::bind(settings.http)
+        .await
+        .with_context(|| format!("listen on {}", settings.http))?;
+    let (events, mut queue) = mpsc::channel(EVENTS);
+    spawn_local(observe::http::serve(http, events.clone()));
+    accept_streams(link, events.clone());
+    let stopped = events.clone();
+    spawn_local(async move {
+        stop.await;
+        let _ended = stopped.send(Event::Stop).await;
+    });
+    tracing::info!(
+        instance = %settings.instance, disk = opened.disk.0, new = opened.is_new, torn = opened.torn,
+        "control started"
+    );
+    let mut state = Loop::new(settings, events, wal, opened, rng)?;
+    while state.turn(&mut queue).await? {}
+    tracing::info!("control stopped");
+    Ok(())
+}
+
+fn accept_streams(listener: TcpListener, events: mpsc::Sender<Event>) {
+    let next = std::cell::Cell::new(0);
+    let next = std::rc::Rc::new(next);
+    spawn_local(link::listen(listener, move |path, stream| {
+        let events = events.clone();
+        match path {
+            link::PEER => {
+                // Answers go over the stream that this side opens; the sender is kept so that
+                // this one stays open.
+                let (keep, outgoing) = mpsc::channel::<wire::Peer>(1);
+                spawn_local(async move {
+                    let wrap = |event| match event {
+                        link::Event::Message(message) => Event::Peer(message),
+                        link::Event::Closed(_) => Event::CommandFailed("peer_stream"),
+                    };
+                    stream.run(outgoing, events, wrap).await;
+                    drop(keep);
+                });
+                true
+            }
+            link::ENTRY => {
+                let id = StreamId(next.get());
+                next.set(id.0 + 1);
+                let (out, outgoing) = mpsc::channel(ENTRY_OUT);
+                spawn_local(async move {
+                    if events.send(Event::EntryOpen(id, out)).await.is_ok() {
+                        stream
+                            .run(outgoing, events, move |event| Event::Entry(id, event))
+                            .await;
+                    }
+                });
+                true
+            }
+            _ => false,
+        }
+    }));
+}
+
+impl Loop {
+    fn new(
+        settings: settings::Control,
+        events: mpsc::Sender<Event>,
+        wal: Wal<Native>,
+        opened: disk::Opened,
+        mut rng: SmallRng,
+    ) -> Result<Self> {
+        let now = now();
+        let me = Identity {
+            instance: settings.instance.clone(),
+            disk: opened.disk,
+        };
+        let organisation = Name::try_from(ORGANISATION)?;
+        let catalog = match &*opened.saved.snapshot.data {
+            [] => Catalog::new(organisation),
+            bytes => Catalog::decode(bytes).context("catalog of the snapshot")?,
+        };
+        let applied = opened.saved.snapshot.position.index;
+        let node = Node::new(
+            now,
+            me,
+            consensus::Settings::default(),
+            SmallRng::from_rng(&mut rng),
+            opened.saved,
+        );
+        let peers = Peers::new(settings.instance.clone(), events.clone());
+        let mut state = Self {
+            settings,
+            events,
+            node,
+            disk: store::Queue::new(wal),
+            peers,
+            introductions: Introductions::default(),
+            streams: Streams::default(),
+            catalog,
+            lead: None,
+            waiting: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            next_read: 0,
+            metrics: Set::new(),
+            applied,
+            compacted: applied,
+            greeting_at: now,
+            stopping: false,
+        };
+        state.keep_peers(now);
+        Ok(state)
+    }
+
+    /// Waits for events or a timer and handles what there is. False once the process should end.
+    async fn turn(&mut self, queue: &mut mpsc::Receiver<Event>) -> Result<bool> {
+        let deadline = tokio::time::Instant::from_std(self.deadline());
+        let first = tokio::select! {
+            biased;
+            event = queue.recv() => event,
+            () = tokio::time::sleep_until(deadline) => None,
+        };
+        let now = now();
+        let mut next = first;
+        for _ in 0..BATCH {
+            let Some(event) = next else { break };
+            self.on_event(now, event)?;
+            next = queue.try_recv().ok();
+        }
+        if let Some(event) = next {
+            self.on_event(now, event)?;
+        }
+        self.on_tick(now)?;
+        self.disk.start(&self.events, Event::Disk);
+        Ok(!self.stopping)
+    }
+
+    fn deadline(&self) -> Instant {
+        let due = [
+            self.node.deadline(),
+            self.peers.deadline(),
+            self.lead.as_ref().map(Lead::deadline),
+            Some(self.greeting_at),
+        ];
+        due.into_iter().flatten().min().unwrap_or(self.greeting_at)
+    }
+
+    fn on_event(&mut self, now: Instant, event: Event) -> Result<()> {
+        match event {
+            Event::PeerOpen(name, out) => self.peers.on_open(&name, out, &self.hello()),
+            Event::PeerClosed(name) => self.peers.on_closed(now, &name),
+            Event::Peer(message) => self.on_peer(now, message)?,
+            Event::EntryOpen(id, out) => self.streams.open(id, out),
+            Event::Entry(id, link::Event::Message(message)) => self.on_entry(now, id, message)?,
+            Event::Entry(id, link::Event::Closed(_)) => self.streams.close(id),
+            Event::Disk(done) => self.on_disk(now, done)?,
+            Event::Position {
+                database,
+                target,
+                round,
+                position,
+            } => {
+                if let Some(machine) = self.lead.as_mut().and_then(|lead| lead.machine(&database)) {
+                    machine.on_position(now, &target, round, position);
+                }
+                self.step(now)?;
+            }
+            Event::Promoted {
+                database,
+                target,
+                term,
+                start,
+            } => {
+                let mut actions = Vec::new();
+                if let Some(machine) = self.lead.as_mut().and_then(|lead| lead.machine(&database)) {
+                    machine.on_promoted(now, &target, term, start, &self.catalog, &mut actions);
+                }
+                self.act(
+                    now,
+                    actions
+                        .into_iter()
+                        .map(|action| (database.clone(), action))
+                        .collect(),
+                )?;
+                self.step(now)?;
+            }
+            Event::Following {
+                database,
+                target,
+                primary,
+            } => {
+                if let Some(machine) = self.lead.as_mut().and_then(|lead| lead.machine(&database)) {
+                    machine.on_following(&target, &primary, &self.catalog);
+                }
+            }
+            Event::CommandFailed("peer_stream") => {}
+            Event::CommandFailed(reason) => self.metrics.common.retries.add(reason),
+            Event::Http(request) => self.on_request(now, request)?,
+            Event::Stop => self.stopping = true,
+        }
+        Ok(())
+    }
+
+    fn on_tick(&mut self, now: Instant) -> Result<()> {
+        self.peers.on_tick(now);
+        if self.node.deadline().is_some_and(|deadline| deadline <= now) {
+            let mut actions = Vec::new();
+            self.node.on_tick(now, &mut actions);
+            self.drive(now, actions)?;
+        }
+        if self.greeting_at <= now {
+            self.greeting_at = now + GREETING;
+            if self.is_outside() {
+                self.peers.greet(&self.hello());
+                self.found(now)?;
+            }
+            self.join_returning(now)?;
+        }
+        let mut due = Vec::new();
+        if let Some(lead) = &mut self.lead {
+            lead.on_tick(now, false, &self.catalog, &mut due);
+        }
+        self.act(now, due)?;
+        self.metrics
+            .revision
+            .set(i64::try_from(self.catalog.revision().0).unwrap_or(i64::MAX));
+        self.metrics
+            .entries
+            .set(i64::try_from(self.streams.len()).unwrap_or(i64::MAX));
+        Ok(())
+    }
+
+    /// Steps the changes of primary that are under way, as something they wait for has happened.
+    pub(crate) fn step(&mut self, now: Instant) -> Result<()> {
+        let mut due = Vec::new();
+        if let Some(lead) = &mut self.lead {
+            lead.on_tick(now, true, &self.catalog, &mut due);
+        }
+        self.act(now, due)
+    }
+}
+
+/// The monotonic clock, which is paused in tests.
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
--- /dev/null
+++ b/components/entry/src/accept.rs
@@ -0,0 +1,328 @@
+//! Callers' connections: start, bytes, end.
+
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use pg::{Severity, Status};
+use rand::RngExt as _;
+use relay::statement::Names;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use types::Name;
+
+use crate::caller::{self, Caller, State, Weight};
+use crate::event::{CallerKey, Event};
+use crate::front::{self, Outcome, Started};
+use crate::own::Parameters as _;
+use crate::process::Loop;
+use crate::{back, io};
+
+/// Verifier requests of one connection that wait for the loop; each asks once.
+const LOGINS: usize = 1;
+/// Time for a cancel connection to a target.
+pub const CANCEL_LIMIT: Duration = Duration::from_secs(5);
+/// Parameters that drivers rely on, for callers that start before any target has reported its own.
+const DEFAULT_PARAMETERS: [(&str, &str); 7] = [
+    ("server_version", "16.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("TimeZone", "UTC"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+];
+
+impl Loop {
+    pub(crate) fn on_accepted(&mut self, socket: TcpStream) {
+        let refusal = if self.callers.len() >= self.settings.max_callers {
+            Some("too_many_callers")
+        } else if self.starting >= self.settings.max_starting {
+            Some("too_many_starting")
+        } else {
+            None
+        };
+        if let Some(reason) = refusal {
+            self.metrics.common.refusals.add(reason);
+            return;
+        }
+        if socket.set_nodelay(true).is_err() {
+            return;
+        }
+        self.starting += 1;
+        let (events, limit) = (self.events.clone(), self.settings.start_timeout);
+        let (logins, mut asked) = mpsc::channel(LOGINS);
+        spawn_local(async move {
+            let forward = async {
+                while let Some(login) = asked.recv().await {
+                    if events.send(Event::Login(login)).await.is_err() {
+                        return;
+                    }
+                }
+            };
+            let (outcome, ()) = tokio::join!(front::start(socket, logins, limit), forward);
+            let _ended = events.send(Event::Start(outcome)).await;
+        });
+    }
+
+    pub(crate) fn on_start(&mut self, now: Instant, outcome: Outcome) {
+        self.starting -= 1;
+        match outcome {
+            Outcome::Started(started) => self.start_caller(*started),
+            Outcome::Cancel { process, secret } => self.on_cancel(now, process, secret),
+            Outcome::Refused(reason) => self.metrics.common.refusals.add(reason.as_str()),
+        }
+    }
+
+    fn start_caller(&mut self, started: Started) {
+        let Started { socket, rest, parameters } = started;
+        let parameter = |name: &str| {
+            let found = parameters.iter().find(|(known, _)| known == name);
+            found.map(|(_, value)| value.as_str())
+        };
+        let user = parameter("user").unwrap_or_default();
+        let name = parameter("database").unwrap_or(user).to_owned();
+        let database = Name::try_from(name.as_str()).ok();
+        let Some(database) = database.filter(|name| self.databases.contains_key(name)) else {
+            let known = self.control.catalog().is_some();
+            let (reason, code) = if known { ("unknown_database", "3D000") } else { ("lease", "57P03") };
+            self.metrics.common.refusals.add(reason);
+            reject(socket, code, &format!("database \"{name}\" is not known here"));
+            return;
+        };
+        let mut caller = self.new_caller(database);
+        if let Err(refusal) = self.set_start_parameters(&mut caller, &parameters) {
+            self.metrics.common.refusals.add("parameter");
+            reject(socket, refusal.code, &refusal.text);
+            return;
+        }
+        let Unstarted { database, process, secret, session, max_age, weight, parameters } = caller;
+        let events = self.events.clone();
+        let key = self.callers.insert_with_key(|key| Caller {
+            handle: io::spawn(socket, rest, events, move |event| Event::Caller(key, event)),
+            inbox: BytesMut::new(),
+            out: BytesMut::new(),
+            database,
+            process,
+            secret,
+            names: Names::default(),
+            state: State::Idle,
+            status: Status::Idle,
+            transaction: None,
+            bound: None,
+            unsynced: false,
+            unsynced_wrote: false,
+            closing: false,
+            session,
+            max_age,
+            weight,
+            parameters,
+        });
+        self.processes.insert(process, key);
+        self.metrics.callers.inc();
+        self.greet(key);
+    }
+
+    fn new_caller(&mut self, database: Name) -> Unstarted {
+        let process = loop {
+            let process = self.rng.random_range(1..i32::MAX);
+            if !self.processes.contains_key(&process) {
+                break process;
+            }
+        };
+        Unstarted {
+            database,
+            process,
+            secret: self.rng.random(),
+            session: caller::new_session(self.rng.random()),
+            max_age: None,
+            weight: Weight::default(),
+            parameters: Vec::new(),
+        }
+    }
+
+    /// Sets what the start-up message and its `options` say.
+    fn set_start_parameters(
+        &self,
+        caller: &mut Unstarted,
+        start: &[(String, String)],
+    ) -> Result<(), crate::own::Refusal> {
+        let mut view = caller::View {
+            session: &mut caller.session,
+            max_age: &mut caller.max_age,
+            weight: &mut caller.weight,
+            parameters: &mut caller.parameters,
+            signer: &self.signer,
+        };
+        for (name, value) in start {
+            match name.as_str() {
+                "user" | "database" => {}
+                "options" => {
+                    for (name, value) in options(value) {
+                        view.set(&name, &value)?;
+                    }
+                }
+                name if name.starts_with("_pq_.") => {}
+                name => view.set(&name.to_ascii_lowercase(), value)?,
+            }
+        }
+        Ok(())
+    }
+
+    fn greet(&mut self, key: CallerKey) {
+        let parameters = std::mem::take(&mut self.parameters);
+        let Some(caller) = self.callers.get_mut(key) else { return };
+        let out = &mut caller.out;
+        pg::auth_ok(out);
+        for (name, value) in &parameters {
+            pg::parameter(out, name, value);
+        }
+        for (name, value) in DEFAULT_PARAMETERS {
+            if !parameters.iter().any(|(known, _)| known == name) {
+                pg::parameter(out, name, value);
+            }
+        }
+        pg::key(out, caller.process, caller.secret);
+        pg::ready(out, Status::Idle);
+        self.parameters = parameters;
+        self.dirty_callers.push(key);
+    }
+
+    pub(crate) fn on_caller(&mut self, now: Instant, key: CallerKey, event: io::Event) {
+        let Some(caller) = self.callers.get_mut(key) else { return };
+        match event {
+            io::Event::Bytes(bytes) if caller.inbox.is_empty() => caller.inbox = bytes,
+            io::Event::Bytes(bytes) => caller.inbox.extend_from_slice(&bytes),
+            io::Event::Room => {
+                let events = &self.events;
+                caller.handle.on_room(|out| {
+                    io::wait_for_room(out, events.clone(), Event::Caller(key, io::Event::Room));
+                });
+                self.pace(key);
+                return;
+            }
+            io::Event::Closed => return self.on_caller_closed(now, key),
+        }
+        // A caller may send ahead; beyond this its socket is not read until batches were answered.
+        if caller.inbox.len() > 2 * self.settings.max_frame {
+            caller.handle.pause();
+        }
+        self.ready.push(key);
+    }
+
+    /// The caller has gone: nobody reads its answers any more, and its transaction rolls back.
+    fn on_caller_closed(&mut self, now: Instant, key: CallerKey) {
+        let Some(caller) = self.callers.get_mut(key) else { return };
+        caller.closing = true;
+        caller.inbox.clear();
+        match caller.state {
+            State::Idle | State::Acknowledging => self.remove_caller(now, key),
+            State::Routing(_) | State::Queued(..) => {
+                self.withdraw(key);
+                self.remove_caller(now, key);
+            }
+            // The statement runs to its end, so that its connection can be used again; the answer
+            // is dropped.
+            State::Running(_) => {}
+        }
+    }
+
+    /// Removes a caller on which nothing runs, and closes its transaction's connection.
+    pub(crate) fn remove_caller(&mut self, now: Instant, key: CallerKey) {
+        let Some(mut caller) = self.callers.remove(key) else { return };
+        self.processes.remove(&caller.process);
+        for id in caller.names.drain() {
+            self.statements.release(id);
+        }
+        self.metrics.callers.dec();
+        if let Some(conn) = caller.bound {
+            // Closing it lets the target roll the transaction back.
+            self.close_conn(now, conn);
+        }
+        if let Some(database) = self.databases.get_mut(&caller.database) {
+            database.routing.retain(|waiting| *waiting != key);
+            database.acks.retain(|ack| ack.caller != key);
+        }
+    }
+
+    /// Removes a caller that is done, once its last bytes are with its socket.
+    pub(crate) fn remove_if_done(&mut self, key: CallerKey) {
+        let done = self.callers.get(key).is_some_and(|caller| {
+            caller.closing && matches!(caller.state, State::Idle) && caller.handle.backlog() == 0
+        });
+        if done {
+            self.remove_caller(crate::process::now(), key);
+        }
+    }
+
+    // --- Cancel -----------------------------------------------------------------------------------
+
+    fn on_cancel(&mut self, now: Instant, process: i32, secret: i32) {
+        let key = self.processes.get(&process).copied();
+        let caller = key.and_then(|key| Some((key, self.callers.get(key)?)));
+        let Some((key, caller)) = caller.filter(|(_, caller)| caller.secret == secret) else {
+            self.metrics.cancels.add("unknown");
+            return;
+        };
+        match caller.state {
+            State::Idle | State::Acknowledging => self.metrics.cancels.add("too_late"),
+            State::Routing(_) | State::Queued(..) => {
+                self.metrics.cancels.add("waiting");
+                self.withdraw(key);
+                self.refuse(now, key, "cancelled", "57014", "canceling statement due to user request");
+            }
+            State::Running(conn_key) => {
+                let Some(conn) = self.conns.get_mut(conn_key) else { return };
+                self.metrics.cancels.add("sent");
+                conn.cancels += 1;
+                let address = self.servers[conn.server].address;
+                let (process, secret) = (conn.process, conn.secret);
+                let events = self.events.clone();
+                spawn_local(async move {
+                    back::cancel(address, process, secret, CANCEL_LIMIT).await;
+                    let _ended = events.send(Event::Cancelled(conn_key)).await;
+                });
+            }
+        }
+    }
+}
+
+/// What a caller's start decides.
+struct Unstarted {
+    database: Name,
+    process: i32,
+    secret: i32,
+    session: session::Session,
+    max_age: Option<Duration>,
+    weight: Weight,
+    parameters: Vec<(String, String)>,
+}
+
+/// Parameters of `-c name=value` in the start-up options.
+fn options(text: &str) -> Vec<(String, String)> {
+    let mut words = text.split_ascii_whitespace();
+    let mut found = Vec::new();
+    while let Some(word) = words.next() {
+        let pair = if word == "-c" {
+            words.next()
+        } else {
+            word.strip_prefix("-c").or_else(|| word.strip_prefix("--"))
+        };
+        if let Some((name, value)) = pair.and_then(|pair| pair.split_once('=')) {
+            found.push((name.to_ascii_lowercase(), value.to_owned()));
+        }
+    }
+    found
+}
+
+/// Ends a connection with an error.
+fn reject(mut socket: TcpStream, code: &str, text: &str) {
+    let mut out = BytesMut::new();
+    pg::error(&mut out, Severity::Fatal, code, text);
+    spawn_local(async move {
+        use tokio::io::AsyncWriteExt as _;
+        // The peer may have gone; the refusal stands.
+        let _sent = socket.write_all(&out).await;
+        let _closed = socket.shutdown().await;
+    });
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,1 +1,23 @@
-//! Loop of an entry process.
+//! Loop of an entry process: callers, targets, and the stream to control.
+
+mod accept;
+mod answer;
+mod back;
+mod batch;
+mod caller;
+mod control;
+mod database;
+mod dispatch;
+mod event;
+mod follow;
+mod front;
+mod io;
+mod metrics;
+mod own;
+mod process;
+mod serve;
+mod server;
+mod timer;
+mod watch;
+
+pub use process::run;
--- /dev/null
+++ b/components/entry/src/own.rs
@@ -0,0 +1,116 @@
+//! Statements about the entry's own parameters, answered without a target.
+
+use bytes::BytesMut;
+use pg::{Frames, Kind as Object, Message, Severity, Status};
+use relay::statement::{Names, Table};
+
+use crate::batch::Own;
+
+/// Prefix of the entry's own parameters.
+pub const PREFIX: &str = "limpettally.";
+
+/// A refusal with its SQLSTATE.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// SQLSTATE.
+    pub code: &'static str,
+    /// Text for the caller.
+    pub text: String,
+}
+
+/// The caller's parameters, as far as a statement can show or set them.
+pub trait Parameters {
+    /// Value of a parameter.
+    ///
+    /// # Errors
+    /// Fails for a parameter that does not exist.
+    fn show(&self, name: &str) -> Result<String, Refusal>;
+
+    /// Sets a parameter.
+    ///
+    /// # Errors
+    /// Fails for a parameter or a value that is not accepted.
+    fn set(&mut self, name: &str, value: &str) -> Result<(), Refusal>;
+}
+
+/// Answers a batch whose only statement is `own`.
+pub fn answer<P: Parameters>(
+    frames: Frames<'_>,
+    own: &Own,
+    parameters: &mut P,
+    names: &mut Names,
+    table: &mut Table,
+    status: Status,
+    out: &mut BytesMut,
+) {
+    let mut skip = false;
+    for frame in frames.flatten() {
+        let Ok(message) = Message::try_from(frame) else {
+            continue;
+        };
+        if skip && message != Message::Sync {
+            continue;
+        }
+        match message {
+            Message::Query(_) => {
+                describe(own, out);
+                run(own, parameters, out);
+                pg::ready(out, status);
+            }
+            Message::Parse { name, text, types } => {
+                let id = table.acquire(text, types);
+                if let Some(old) = names.set(name, id) {
+                    table.release(old);
+                }
+                out.extend_from_slice(pg::PARSE_COMPLETE);
+            }
+            Message::Bind { .. } => pg::bind_complete(out),
+            Message::Describe(Object::Statement, _) => {
+                pg::no_parameters(out);
+                describe_or_none(own, out);
+            }
+            Message::Describe(Object::Portal, _) => describe_or_none(own, out),
+            Message::Execute => skip = !run(own, parameters, out),
+            Message::Close(..) => out.extend_from_slice(pg::CLOSE_COMPLETE),
+            Message::Sync => pg::ready(out, status),
+            Message::Flush | Message::Copy | Message::Terminate => {}
+        }
+    }
+}
+
+fn describe(own: &Own, out: &mut BytesMut) {
+    if let Own::Show { name } = own {
+        pg::text_column(out, name);
+    }
+}
+
+fn describe_or_none(own: &Own, out: &mut BytesMut) {
+    match own {
+        Own::Show { name } => pg::text_column(out, name),
+        Own::Set { .. } | Own::Rollback => pg::no_data(out),
+    }
+}
+
+/// Runs the statement. False if it was refused.
+fn run<P: Parameters>(own: &Own, parameters: &mut P, out: &mut BytesMut) -> bool {
+    let result = match own {
+        Own::Show { name } => parameters.show(name).map(|value| {
+            pg::text_row(out, &value);
+            pg::complete(out, "SHOW");
+        }),
+        Own::Set { name, value } => {
+            parameters.set(name, value).map(|()| pg::complete(out, "SET"))
+        }
+        Own::Rollback => {
+            pg::complete(out, "ROLLBACK");
+            Ok(())
+        }
+    };
+    match result {
+        Ok(()) => true,
+        Err(refusal) => {
+            pg::error(out, Severity::Error, refusal.code, &refusal.text);
+            false
+        }
+    }
+}
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -12,11 +12,14 @@
 /// Most bytes held back for a write's acknowledgement.
 const MAX_HELD: usize = 16 << 20;
 
+/// Name that no statement on a target has; statements there are named by [`Id::name`].
+const UNKNOWN: &str = "limpettally_unknown";
+
 /// An answer that the target owes, or that the entry adds itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Expected {
     /// ParseComplete; the statement becomes prepared. Forwarded if the caller asked for it.
-    Parse { id: Option<Id>, forward: bool },
+    Parse { id: Id, forward: bool },
     /// BindComplete.
     Bind,
     /// Up to RowDescription or NoData.
@@ -31,6 +34,8 @@
     Sync,
     /// Up to ReadyForQuery after a simple query.
     Simple,
+    /// Up to ReadyForQuery after statements of the entry's own.
+    SetUp,
     /// Up to ReadyForQuery after the position query; nothing of it is forwarded.
     Probe,
 }
@@ -56,8 +61,6 @@
     Unexpected(u8),
     /// The answers to a write are larger than can be held back.
     TooLarge,
-    /// The caller named a statement that it never prepared.
-    UnknownStatement,
 }
 
 impl fmt::Display for Failure {
@@ -66,7 +69,6 @@
             Self::Frame(invalid) => invalid.fmt(f),
             Self::Unexpected(tag) => write!(f, "unexpected answer {:?}", char::from(*tag)),
             Self::TooLarge => f.write_str("answers to a write exceed what can be held back"),
-            Self::UnknownStatement => f.write_str("prepared statement does not exist"),
         }
     }
 }
@@ -98,6 +100,8 @@
     hold: Hold,
     /// Whether any error answered the caller's requests.
     failed: bool,
+    /// After an error the target skips everything up to a Sync that was not sent yet.
+    skipping: bool,
     probe: Option<probe::Answer>,
 }
 
@@ -141,6 +145,12 @@
         }
     }
 
+    /// Sends statements of the entry's own, whose answers nobody gets.
+    pub fn set_up(&mut self, text: &str, out: &mut BytesMut) {
+        pg::query(out, text.as_bytes());
+        self.expected.push_back(Expected::SetUp);
+    }
+
     /// Appends the position query.
     pub fn ask_position(&mut self, out: &mut BytesMut) {
         pg::query(out, probe::QUERY.as_bytes());
@@ -149,9 +159,11 @@
 
     /// Translates a caller's message for a target connection.
     ///
+    /// A statement that the caller did not prepare is passed on under a name that no statement
+    /// has, so that the target refuses it and undoes what came before it in the same series.
+    ///
     /// # Errors
-    /// Fails if the message names a statement that the caller did not prepare; the caller gets an
-    /// error and nothing of the message is sent.
+    /// Fails on a message that may not be sent at this point.
     pub fn request(
         &mut self,
         frame: Frame<'_>,
@@ -160,7 +172,12 @@
         prepared: &mut Prepared,
         out: &mut BytesMut,
     ) -> Result<(), Failure> {
-        match Message::try_from(frame)? {
+        let message = Message::try_from(frame)?;
+        if std::mem::take(&mut self.skipping) && message != Message::Sync {
+            self.skipping = true;
+            return Ok(());
+        }
+        match message {
             Message::Query(_) => self.pass(frame, Expected::Simple, out),
             Message::Parse { name, text, types } => {
                 let id = table.acquire(text, types);
@@ -170,7 +187,7 @@
                 if prepared.has(id) {
                     self.expected.push_back(Expected::Own(pg::PARSE_COMPLETE));
                 } else {
-                    self.prepare(id, true, table, prepared, out)?;
+                    self.prepare(id, true, table, prepared, out);
                 }
             }
             Message::Bind {
@@ -178,12 +195,12 @@
                 statement,
                 rest,
             } => {
-                let name = self.ensure(statement, names, table, prepared, out)?;
+                let name = self.ensure(statement, names, table, prepared, out);
                 pg::bind(out, portal, name.as_bytes(), rest);
                 self.expected.push_back(Expected::Bind);
             }
             Message::Describe(Kind::Statement, name) => {
-                let name = self.ensure(name, names, table, prepared, out)?;
+                let name = self.ensure(name, names, table, prepared, out);
                 pg::describe_statement(out, name.as_bytes());
                 self.expected.push_back(Expected::Describe);
             }
@@ -221,12 +238,14 @@
         table: &Table,
         prepared: &mut Prepared,
         out: &mut BytesMut,
-    ) -> Result<String, Failure> {
-        let id = names.get(name).ok_or(Failure::UnknownStatement)?;
+    ) -> String {
+        let Some(id) = names.get(name) else {
+            return UNKNOWN.to_owned();
+        };
         if !prepared.has(id) {
-            self.prepare(id, false, table, prepared, out)?;
+            self.prepare(id, false, table, prepared, out);
         }
-        Ok(id.name())
+        id.name()
     }
 
     fn prepare(
@@ -236,15 +255,13 @@
         table: &Table,
         prepared: &mut Prepared,
         out: &mut BytesMut,
-    ) -> Result<(), Failure> {
-        let statement = table.get(id).ok_or(Failure::UnknownStatement)?;
+    ) {
+        let Some(statement) = table.get(id) else {
+            return;
+        };
         pg::parse(out, id.name().as_bytes(), &statement.text, &statement.types);
         prepared.add(id);
-        self.expected.push_back(Expected::Parse {
-            id: Some(id),
-            forward,
-        });
-        Ok(())
+        self.expected.push_back(Expected::Parse { id, forward });
     }
 
     fn close_surplus(&mut self, prepared: &mut Prepared, out: &mut BytesMut) {
@@ -283,7 +300,7 @@
 
     fn notice(&mut self, frame: Frame<'_>, out: &mut BytesMut) -> Result<(), Failure> {
         match self.expected.front() {
-            None | Some(Expected::Probe) => Ok(()),
+            None | Some(Expected::Probe | Expected::SetUp) => Ok(()),
             Some(_) => self.emit(frame, out),
         }
     }
@@ -296,7 +313,7 @@
     ) -> Result<(), Failure> {
         match self.expected.front() {
             None => return Err(Failure::Unexpected(frame.tag)),
-            Some(Expected::Probe) => return Ok(()),
+            Some(Expected::Probe | Expected::SetUp) => return Ok(()),
             Some(Expected::Simple) => {}
             // The target skips everything up to the next Sync.
             Some(_) => self.skip_to_sync(prepared),
@@ -309,18 +326,19 @@
         while let Some(expected) = self.expected.front() {
             match expected {
                 Expected::Sync => return,
-                Expected::Parse { id: Some(id), .. } => prepared.forget(*id),
+                Expected::Parse { id, .. } => prepared.forget(*id),
                 _ => {}
             }
             self.expected.pop_front();
         }
+        self.skipping = true;
     }
 
     fn ready(&mut self, frame: Frame<'_>, out: &mut BytesMut) -> Result<(), Failure> {
         self.status = frame.status()?;
         match self.expected.pop_front() {
             Some(Expected::Sync | Expected::Simple) => self.emit(frame, out),
-            Some(Expected::Probe) => Ok(()),
+            Some(Expected::Probe | Expected::SetUp) => Ok(()),
             _ => Err(Failure::Unexpected(frame.tag)),
         }
     }
@@ -344,7 +362,9 @@
                 self.probe = probe::Answer::parse(&frame);
                 (false, false)
             }
-            (Expected::Probe, b'T' | b'C') => (false, false),
+            (Expected::Probe, b'T' | b'C') | (Expected::SetUp, b'T' | b'D' | b'C' | b'I') => {
+                (false, false)
+            }
             _ => return Err(Failure::Unexpected(frame.tag)),
         };
         if ends {
@@ -357,7 +377,11 @@
         }
     }
 
-    fn add_own(&mut self, out: &mut BytesMut) -> Result<(), Failure> {
+    /// Answers at once what needs no answer of the target and has none before it.
+    ///
+    /// # Errors
+    /// Fails if the bytes held back exceed their limit.
+    pub fn add_own(&mut self, out: &mut BytesMut) -> Result<(), Failure> {
         while let Some(Expected::Own(raw)) = self.expected.front().copied() {
             self.expected.pop_front();
             self.put(raw, out)?;
@@ -366,7 +390,7 @@
     }
 
     fn emit(&mut self, frame: Frame<'_>, out: &mut BytesMut) -> Result<(), Failure> {
-        if matches!(self.hold, Hold::Armed) && matches!(frame.tag, b'C' | b'I' | b's') {
+        if matches!(self.hold, Hold::Armed) && matches!(frame.tag, b'C' | b'I' | b's' | b'Z') {
             self.hold = Hold::On(BytesMut::new());
         }
         self.put(frame.raw, out)
--- a/components/relay/src/probe.rs
+++ b/components/relay/src/probe.rs
@@ -26,13 +26,19 @@
             .columns()
             .map(|column| column.and_then(|b| str::from_utf8(b).ok()));
         let mut next = || columns.next().flatten();
-        let role = match next()? {
+        Self::of(next()?, next()?, next()?)
+    }
+
+    /// Reads the answer's columns in text form, or none if one has another form.
+    #[must_use]
+    pub fn of(recovering: &str, term: &str, lsn: &str) -> Option<Self> {
+        let role = match recovering {
             "t" | "true" => Role::Replica,
             "f" | "false" => Role::Primary,
             _ => return None,
         };
-        let term = Term(next()?.parse().ok()?);
-        let lsn = Lsn::try_from(next()?).ok()?;
+        let term = Term(term.parse().ok()?);
+        let lsn = Lsn::try_from(lsn).ok()?;
         Some(Self {
             role,
             point: Point { term, lsn },
--- a/components/sql/src/lib.rs
+++ b/components/sql/src/lib.rs
@@ -14,3 +14,4 @@
 pub use cache::Cache;
 pub use class::{Binding, Class, Kind, classify};
 pub use fingerprint::Fingerprint;
+pub use set::is_kept;
--- a/components/sql/src/set.rs
+++ b/components/sql/src/set.rs
@@ -20,6 +20,12 @@
     "timezone",
 ];
 
+/// Whether the entry keeps the parameter `name`, in lower case, for a session.
+#[must_use]
+pub fn is_kept(name: &str) -> bool {
+    KEPT.contains(&name)
+}
+
 /// The dotted name at the start of `tokens`, in lower case; `time zone` is `timezone`.
 pub(crate) fn name(tokens: &[&Token]) -> String {
     let mut name = String::new();
@@ -55,7 +61,7 @@
 }
 
 fn keep(name: String, value: String, local: bool) -> Kind {
-    if local || name.starts_with(OWN) || KEPT.contains(&name.as_str()) {
+    if local || name.starts_with(OWN) || is_kept(&name) {
         Kind::Set { name, value, local }
     } else {
         Kind::SessionBound(Binding::Parameter)
