Add the stand-in target

Tests and the demo need targets that a proxy cannot tell from PostgreSQL servers, without running one.

--- /dev/null
+++ b/components/standin/src/describe.rs
@@ -0,0 +1,302 @@
+//! Types of parameters and result columns, derived without running a statement.
+
+use crate::failure::{Outcome, failure};
+use crate::plan::{Aggregate, Column, Expr, Function, Item, Operator, Plan, Schema, Source};
+use crate::store::View;
+use crate::value::Type;
+
+/// A result column.
+#[derive(Clone, Debug)]
+pub(crate) struct Field {
+    pub(crate) name: String,
+    pub(crate) kind: Type,
+}
+
+/// Columns of `pg_control_checkpoint()`.
+pub(crate) fn checkpoint() -> Schema {
+    let column = |name: &str, kind| Column {
+        name: name.to_owned(),
+        kind,
+        required: false,
+        default: None,
+    };
+    Schema {
+        name: "pg_control_checkpoint".to_owned(),
+        columns: vec![
+            column("checkpoint_lsn", Type::Lsn),
+            column("redo_lsn", Type::Lsn),
+            column("timeline_id", Type::Int4),
+            column("prev_timeline_id", Type::Int4),
+        ],
+        key: Vec::new(),
+    }
+}
+
+/// Result columns of a statement; none when it returns no rows.
+pub(crate) fn fields(plan: &Plan, view: View<'_>, params: &[Type]) -> Outcome<Option<Vec<Field>>> {
+    let (items, table) = match plan {
+        Plan::Select(select) => match &select.source {
+            Source::Nothing => return listed(&select.items, None, params).map(Some),
+            Source::Checkpoint => {
+                return listed(&select.items, Some(&checkpoint()), params).map(Some);
+            }
+            Source::Table(table) => (&select.items, table),
+        },
+        Plan::Insert(insert) => (&insert.returning, &insert.table),
+        Plan::Update(update) => (&update.returning, &update.table),
+        Plan::Delete(delete) => (&delete.returning, &delete.table),
+        Plan::Show(name) => {
+            let name = crate::settings::reported(name).unwrap_or(name).to_owned();
+            let kind = Type::Text;
+            return Ok(Some(vec![Field { name, kind }]));
+        }
+        _ => return Ok(None),
+    };
+    let schema = view.schema(table)?;
+    if items.is_empty() {
+        return Ok(None);
+    }
+    listed(items, Some(schema), params).map(Some)
+}
+
+fn listed(items: &[Item], schema: Option<&Schema>, params: &[Type]) -> Outcome<Vec<Field>> {
+    let mut fields = Vec::with_capacity(items.len());
+    for item in items {
+        match (item, schema) {
+            (Item::All, Some(schema)) => fields.extend(schema.columns.iter().map(|c| Field {
+                name: c.name.clone(),
+                kind: c.kind,
+            })),
+            (Item::All, None) => {
+                return failure("42601", "SELECT * with no tables specified is not valid");
+            }
+            (Item::One { expr, name }, _) => fields.push(Field {
+                name: name.clone(),
+                kind: match kind(expr, schema, params)? {
+                    Type::Unknown => Type::Text,
+                    known => known,
+                },
+            }),
+        }
+    }
+    Ok(fields)
+}
+
+/// Type of an expression.
+pub(crate) fn kind(expr: &Expr, schema: Option<&Schema>, params: &[Type]) -> Outcome<Type> {
+    Ok(match expr {
+        Expr::Const(_, kind) | Expr::Cast(_, kind) => *kind,
+        Expr::Param(n) => params.get(*n).copied().unwrap_or(Type::Unknown),
+        Expr::Column(name) => {
+            let found = schema.and_then(|s| Some(s.columns[s.position(name)?].kind));
+            match found {
+                Some(kind) => kind,
+                None => return failure("42703", format!("column \"{name}\" does not exist")),
+            }
+        }
+        Expr::Not(_) | Expr::IsNull(..) | Expr::In(..) => Type::Bool,
+        Expr::Negate(inner) => kind(inner, schema, params)?,
+        Expr::Binary(op, a, b) => match op {
+            Operator::Concat => Type::Text,
+            Operator::Add
+            | Operator::Subtract
+            | Operator::Multiply
+            | Operator::Divide
+            | Operator::Modulo => combined(kind(a, schema, params)?, kind(b, schema, params)?),
+            _ => Type::Bool,
+        },
+        Expr::Case(arms, last) => {
+            let mut all = arms.iter().map(|(_, then)| then).chain(last.as_deref());
+            first(&mut all, schema, params)?
+        }
+        Expr::Call(function, args) => match function {
+            Function::Coalesce => first(&mut args.iter(), schema, params)?,
+            Function::Abs => kind(&args[0], schema, params)?,
+            Function::CurrentLsn | Function::ReplayLsn | Function::ReceiveLsn => Type::Lsn,
+            Function::Sleep => Type::Void,
+            Function::BackendPid | Function::Length => Type::Int4,
+            Function::LsnDiff => Type::Int8,
+            Function::IsInRecovery | Function::Promote | Function::Reload | Function::Fault => {
+                Type::Bool
+            }
+            _ => Type::Text,
+        },
+        Expr::Aggregate(Aggregate::Count, _) => Type::Int8,
+        Expr::Aggregate(aggregate, arg) => {
+            let inner = match arg {
+                Some(arg) => kind(arg, schema, params)?,
+                None => Type::Unknown,
+            };
+            match (aggregate, inner) {
+                (Aggregate::Sum, Type::Int4) => Type::Int8,
+                _ => inner,
+            }
+        }
+    })
+}
+
+fn first<'a>(
+    list: &mut impl Iterator<Item = &'a Expr>,
+    schema: Option<&Schema>,
+    params: &[Type],
+) -> Outcome<Type> {
+    for expr in list {
+        let kind = kind(expr, schema, params)?;
+        if kind != Type::Unknown {
+            return Ok(kind);
+        }
+    }
+    Ok(Type::Unknown)
+}
+
+fn combined(a: Type, b: Type) -> Type {
+    match (a, b) {
+        (Type::Unknown, other) | (other, Type::Unknown) => other,
+        (Type::Lsn, _) => Type::Int8,
+        (Type::Float8, _) | (_, Type::Float8) => Type::Float8,
+        (Type::Int8, _) | (_, Type::Int8) => Type::Int8,
+        _ => a,
+    }
+}
+
+/// Types of a statement's parameters, from the client's declarations and from their use.
+pub(crate) fn params(plan: &Plan, view: View<'_>, declared: &[u32]) -> Outcome<Vec<Type>> {
+    let mut types: Vec<_> = declared.iter().map(|oid| Type::from_oid(*oid)).collect();
+    let mut infer = |expr: &Expr, wanted, schema| infer(expr, wanted, schema, &mut types);
+    match plan {
+        Plan::Select(select) => {
+            let control = checkpoint();
+            let schema = match &select.source {
+                Source::Nothing => None,
+                Source::Checkpoint => Some(&control),
+                Source::Table(table) => Some(view.schema(table)?),
+            };
+            each(&select.items, schema, &mut infer);
+            if let Some(filter) = &select.filter {
+                infer(filter, Type::Bool, schema);
+            }
+            for bound in [&select.limit, &select.offset].into_iter().flatten() {
+                infer(bound, Type::Int8, schema);
+            }
+        }
+        Plan::Insert(insert) => {
+            let schema = view.schema(&insert.table)?;
+            for row in &insert.rows {
+                for (at, expr) in row.iter().enumerate() {
+                    let position = match insert.columns.get(at) {
+                        Some(name) => schema.position(name),
+                        None => Some(at),
+                    };
+                    let column = position.and_then(|p| schema.columns.get(p));
+                    let wanted = column.map_or(Type::Unknown, |c| c.kind);
+                    if let Some(expr) = expr {
+                        infer(expr, wanted, None);
+                    }
+                }
+            }
+            each(&insert.returning, Some(schema), &mut infer);
+        }
+        Plan::Update(update) => {
+            let schema = view.schema(&update.table)?;
+            for (name, expr) in &update.set {
+                let column = schema.position(name).map(|p| &schema.columns[p]);
+                infer(expr, column.map_or(Type::Unknown, |c| c.kind), Some(schema));
+            }
+            if let Some(filter) = &update.filter {
+                infer(filter, Type::Bool, Some(schema));
+            }
+            each(&update.returning, Some(schema), &mut infer);
+        }
+        Plan::Delete(delete) => {
+            let schema = view.schema(&delete.table)?;
+            if let Some(filter) = &delete.filter {
+                infer(filter, Type::Bool, Some(schema));
+            }
+            each(&delete.returning, Some(schema), &mut infer);
+        }
+        _ => {}
+    }
+    for kind in &mut types {
+        if *kind == Type::Unknown {
+            *kind = Type::Text;
+        }
+    }
+    Ok(types)
+}
+
+fn each<'a>(
+    items: &[Item],
+    schema: Option<&'a Schema>,
+    infer: &mut impl FnMut(&Expr, Type, Option<&'a Schema>),
+) {
+    for item in items {
+        if let Item::One { expr, .. } = item {
+            infer(expr, Type::Unknown, schema);
+        }
+    }
+}
+
+/// Passes the type that an expression has to have down to its parameters.
+fn infer(expr: &Expr, wanted: Type, schema: Option<&Schema>, types: &mut Vec<Type>) {
+    match expr {
+        Expr::Param(n) => {
+            if types.len() <= *n {
+                types.resize(n + 1, Type::Unknown);
+            }
+            if types[*n] == Type::Unknown {
+                types[*n] = wanted;
+            }
+        }
+        Expr::Const(..) | Expr::Column(_) => {}
+        Expr::Not(inner) => infer(inner, Type::Bool, schema, types),
+        Expr::Negate(inner) => infer(inner, wanted, schema, types),
+        Expr::IsNull(inner, _) => infer(inner, Type::Unknown, schema, types),
+        Expr::Cast(inner, kind) => infer(inner, *kind, schema, types),
+        Expr::Binary(op, a, b) => {
+            let of = |e: &Expr, types: &[Type]| kind(e, schema, types).unwrap_or(Type::Unknown);
+            let (left, right) = match op {
+                Operator::And | Operator::Or => (Type::Bool, Type::Bool),
+                Operator::Concat => (Type::Text, Type::Text),
+                _ => (of(b, types), of(a, types)),
+            };
+            let or = |own, other| if own == Type::Unknown { other } else { own };
+            let numeric = !matches!(wanted, Type::Bool);
+            let rest = if numeric { wanted } else { Type::Unknown };
+            infer(a, or(left, rest), schema, types);
+            infer(b, or(right, rest), schema, types);
+        }
+        Expr::In(inner, list, _) => {
+            let of = kind(inner, schema, types).unwrap_or(Type::Unknown);
+            infer(inner, Type::Unknown, schema, types);
+            for item in list {
+                infer(item, of, schema, types);
+            }
+        }
+        Expr::Case(arms, last) => {
+            for (when, then) in arms {
+                infer(when, Type::Bool, schema, types);
+                infer(then, wanted, schema, types);
+            }
+            if let Some(last) = last {
+                infer(last, wanted, schema, types);
+            }
+        }
+        Expr::Call(function, args) => {
+            for (at, arg) in args.iter().enumerate() {
+                let wanted = match (function, at) {
+                    (Function::Sleep, _) => Type::Float8,
+                    (Function::Fault, 1) => Type::Int8,
+                    (Function::LsnDiff, _) => Type::Lsn,
+                    (Function::Coalesce | Function::Abs, _) => wanted,
+                    _ => Type::Text,
+                };
+                infer(arg, wanted, schema, types);
+            }
+        }
+        Expr::Aggregate(_, arg) => {
+            if let Some(arg) = arg {
+                infer(arg, wanted, schema, types);
+            }
+        }
+    }
+}
