--- a/components/entry/src/accept.rs
+++ b/components/entry/src/accept.rs
@@ -75,7 +75,11 @@
     }
 
     fn start_caller(&mut self, started: Started) {
-        let Started { socket, rest, parameters } = started;
+        let Started {
+            socket,
+            rest,
+            parameters,
+        } = started;
         let parameter = |name: &str| {
             let found = parameters.iter().find(|(known, _)| known == name);
             found.map(|(_, value)| value.as_str())
@@ -85,9 +89,17 @@
         let database = Name::try_from(name.as_str()).ok();
         let Some(database) = database.filter(|name| self.databases.contains_key(name)) else {
             let known = self.control.catalog().is_some();
-            let (reason, code) = if known { ("unknown_database", "3D000") } else { ("lease", "57P03") };
+            let (reason, code) = if known {
+                ("unknown_database", "3D000")
+            } else {
+                ("lease", "57P03")
+            };
             self.metrics.common.refusals.add(reason);
-            reject(socket, code, &format!("database \"{name}\" is not known here"));
+            reject(
+                socket,
+                code,
+                &format!("database \"{name}\" is not known here"),
+            );
             return;
         };
         let mut caller = self.new_caller(database);
@@ -96,7 +108,15 @@
             reject(socket, refusal.code, &refusal.text);
             return;
         }
-        let Unstarted { database, process, secret, session, max_age, weight, parameters } = caller;
+        let Unstarted {
+            database,
+            process,
+            secret,
+            session,
+            max_age,
+            weight,
+            parameters,
+        } = caller;
         let events = self.events.clone();
         let key = self.callers.insert_with_key(|key| Caller {
             handle: io::spawn(socket, rest, events, move |event| Event::Caller(key, event)),
@@ -171,7 +191,9 @@
 
     fn greet(&mut self, key: CallerKey) {
         let parameters = std::mem::take(&mut self.parameters);
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         let out = &mut caller.out;
         pg::auth_ok(out);
         for (name, value) in &parameters {
@@ -189,7 +211,9 @@
     }
 
     pub(crate) fn on_caller(&mut self, now: Instant, key: CallerKey, event: io::Event) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         match event {
             io::Event::Bytes(bytes) if caller.inbox.is_empty() => caller.inbox = bytes,
             io::Event::Bytes(bytes) => caller.inbox.extend_from_slice(&bytes),
@@ -212,7 +236,9 @@
 
     /// The caller has gone: nobody reads its answers any more, and its transaction rolls back.
     fn on_caller_closed(&mut self, now: Instant, key: CallerKey) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         caller.closing = true;
         caller.inbox.clear();
         match caller.state {
@@ -229,7 +255,9 @@
 
     /// Removes a caller on which nothing runs, and closes its transaction's connection.
     pub(crate) fn remove_caller(&mut self, now: Instant, key: CallerKey) {
-        let Some(mut caller) = self.callers.remove(key) else { return };
+        let Some(mut caller) = self.callers.remove(key) else {
+            return;
+        };
         self.processes.remove(&caller.process);
         for id in caller.names.drain() {
             self.statements.release(id);
@@ -269,10 +297,18 @@
             State::Routing(_) | State::Queued(..) => {
                 self.metrics.cancels.add("waiting");
                 self.withdraw(key);
-                self.refuse(now, key, "cancelled", "57014", "canceling statement due to user request");
+                self.refuse(
+                    now,
+                    key,
+                    "cancelled",
+                    "57014",
+                    "canceling statement due to user request",
+                );
             }
             State::Running(conn_key) => {
-                let Some(conn) = self.conns.get_mut(conn_key) else { return };
+                let Some(conn) = self.conns.get_mut(conn_key) else {
+                    return;
+                };
                 self.metrics.cancels.add("sent");
                 conn.cancels += 1;
                 let address = self.servers[conn.server].address;
--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -36,11 +36,18 @@
         key: ConnKey,
         result: Result<Box<back::Opened>, back::Failure>,
     ) {
-        let Some(conn) = self.conns.get_mut(key) else { return };
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
         let (index, purpose) = (conn.server, conn.purpose);
         match result {
             Ok(opened) => {
-                let back::Opened { socket, process, secret, parameters } = *opened;
+                let back::Opened {
+                    socket,
+                    process,
+                    secret,
+                    parameters,
+                } = *opened;
                 conn.process = process;
                 conn.secret = secret;
                 let events = self.events.clone();
@@ -77,7 +84,9 @@
     }
 
     pub(crate) fn on_conn(&mut self, now: Instant, key: ConnKey, event: io::Event) {
-        let Some(conn) = self.conns.get_mut(key) else { return };
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
         match event {
             io::Event::Bytes(bytes) if conn.inbox.is_empty() => conn.inbox = bytes,
             io::Event::Bytes(bytes) => conn.inbox.extend_from_slice(&bytes),
@@ -103,7 +112,9 @@
 
     /// Gives a target's answers to the caller of its exchange.
     fn relay(&mut self, now: Instant, key: ConnKey) {
-        let Some(conn) = self.conns.get_mut(key) else { return };
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
         let Some(exchange) = &mut conn.exchange else {
             // A target speaks unasked only to end the connection.
             return self.on_conn_lost(now, key);
@@ -150,20 +161,30 @@
 
     /// Every expected answer has arrived.
     pub(crate) fn finish(&mut self, now: Instant, key: ConnKey) {
-        let Some(conn) = self.conns.get_mut(key) else { return };
-        let (Some(exchange), Some(wait)) = (&mut conn.exchange, conn.wait.take()) else { return };
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
+        let (Some(exchange), Some(wait)) = (&mut conn.exchange, conn.wait.take()) else {
+            return;
+        };
         let (status, failed, probe) = (exchange.status(), exchange.failed(), exchange.probe());
         let held = exchange.take_held();
         let server = &mut self.servers[conn.server];
         if let Some(ticket) = conn.ticket.take() {
             server.queue.finish(ticket, &mut server.shapes, now);
         }
-        self.metrics.service.observe((now - conn.started).as_secs_f64());
+        self.metrics
+            .service
+            .observe((now - conn.started).as_secs_f64());
         self.pumped.push(conn.server);
         conn.replay = None;
         let unsynced = wait.batch.end == End::Flush;
         let free = status == Status::Idle && !unsynced;
-        let caller_key = if free { conn.caller.take() } else { conn.caller };
+        let caller_key = if free {
+            conn.caller.take()
+        } else {
+            conn.caller
+        };
         if free {
             conn.exchange = None;
         }
@@ -196,20 +217,28 @@
     }
 
     fn count(&mut self, key: ConnKey, batch: &Batch) {
-        let Some(conn) = self.conns.get(key) else { return };
+        let Some(conn) = self.conns.get(key) else {
+            return;
+        };
         let server = &self.servers[conn.server];
         let primary = matches!(server.watch.last, Some((Role::Primary, _)));
-        self.metrics.batches.add(match (batch.work.writes, primary) {
-            (true, _) => "write",
-            (false, true) => "read_primary",
-            (false, false) => "read_replica",
-        });
+        self.metrics
+            .batches
+            .add(match (batch.work.writes, primary) {
+                (true, _) => "write",
+                (false, true) => "read_primary",
+                (false, false) => "read_replica",
+            });
     }
 
     /// Gives a connection back to its pool, unless a cancel may still hit it.
     fn release(&mut self, now: Instant, key: ConnKey) {
-        let Some(conn) = self.conns.get(key) else { return };
-        let (index, Use::Pool(id)) = (conn.server, conn.purpose) else { return };
+        let Some(conn) = self.conns.get(key) else {
+            return;
+        };
+        let (index, Use::Pool(id)) = (conn.server, conn.purpose) else {
+            return;
+        };
         if conn.cancels > 0 || conn.exchange.is_some() {
             return;
         }
@@ -220,7 +249,9 @@
     }
 
     pub(crate) fn on_cancelled(&mut self, now: Instant, key: ConnKey) {
-        let Some(conn) = self.conns.get_mut(key) else { return };
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
         conn.cancels -= 1;
         if conn.cancels == 0 && conn.caller.is_none() {
             self.release(now, key);
@@ -238,8 +269,12 @@
         probe: Option<relay::probe::Answer>,
         held: BytesMut,
     ) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
-        let Some(database) = self.databases.get_mut(&caller.database) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
+        let Some(database) = self.databases.get_mut(&caller.database) else {
+            return;
+        };
         let Some(answer) = probe.filter(|answer| answer.role == Role::Primary) else {
             return self.report_unknown(key, "no_position");
         };
@@ -251,9 +286,17 @@
             return self.confirm(now, key, answer.point, held);
         }
         let deadline = now + database.settings.ack_timeout;
-        database.acks.push(Ack { caller: key, term, lsn, since: now, deadline, held });
+        database.acks.push(Ack {
+            caller: key,
+            term,
+            lsn,
+            since: now,
+            deadline,
+            held,
+        });
         caller.state = State::Acknowledging;
-        self.timers.add(deadline, Due::Acks(caller.database.clone()));
+        self.timers
+            .add(deadline, Due::Acks(caller.database.clone()));
         let name = caller.database.clone();
         self.on_acks(now, &name);
         self.watch_replicas(now, &name);
@@ -262,22 +305,27 @@
     /// Acknowledges the writes of a database that enough replicas cover, and gives up those whose
     /// deadline has passed.
     pub(crate) fn on_acks(&mut self, now: Instant, name: &types::Name) {
-        let Some(database) = self.databases.get_mut(name) else { return };
+        let Some(database) = self.databases.get_mut(name) else {
+            return;
+        };
         if database.acks.is_empty() {
             return;
         }
         let replicas = database.servers.iter().map(|index| &self.servers[*index]);
         // A leaving replica stops counting before the choice of a primary stops asking it.
-        let counted = replicas.filter(|server| {
-            server.known && server.state(now) != types::target::State::Leaving
-        });
+        let counted = replicas
+            .filter(|server| server.known && server.state(now) != types::target::State::Leaving);
         let points: Vec<Point> = counted
             .filter(|server| matches!(server.watch.last, Some((Role::Replica, _))))
             .filter_map(crate::server::Server::point)
             .collect();
         let wanted = database.settings.acks;
         let covered = |ack: &Ack| {
-            points.iter().filter(|p| p.term == ack.term && p.lsn >= ack.lsn).count() >= wanted
+            points
+                .iter()
+                .filter(|p| p.term == ack.term && p.lsn >= ack.lsn)
+                .count()
+                >= wanted
         };
         let mut acks = std::mem::take(&mut database.acks);
         let mut waiting = Vec::with_capacity(acks.len());
@@ -291,9 +339,14 @@
         }
         database.acks = waiting;
         for (covered, ack) in ended {
-            let point = Point { term: ack.term, lsn: ack.lsn };
+            let point = Point {
+                term: ack.term,
+                lsn: ack.lsn,
+            };
             let allowed = self.control.may_acknowledge(now, name, ack.term);
-            self.metrics.ack_wait.observe((now - ack.since).as_secs_f64());
+            self.metrics
+                .ack_wait
+                .observe((now - ack.since).as_secs_f64());
             match (covered, allowed) {
                 (true, Ok(())) => self.confirm(now, ack.caller, point, ack.held),
                 (_, Err(reason)) => self.report_unknown(ack.caller, reason),
@@ -304,7 +357,9 @@
 
     /// Gives up the writes of earlier terms, whose fate a promotion has decided.
     pub(crate) fn drop_acks_before(&mut self, name: &types::Name, term: Option<Term>) {
-        let Some(database) = self.databases.get_mut(name) else { return };
+        let Some(database) = self.databases.get_mut(name) else {
+            return;
+        };
         let old = |ack: &Ack| Some(ack.term) != term;
         let acks = std::mem::take(&mut database.acks);
         let (given_up, kept) = acks.into_iter().partition(old);
@@ -317,7 +372,9 @@
     /// Tells a caller that its write is done, with the session's token before ReadyForQuery.
     fn confirm(&mut self, _now: Instant, key: CallerKey, point: Point, held: BytesMut) {
         self.metrics.acknowledged.inc();
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         let (answers, ready) = held.split_at(held.len().saturating_sub(READY_BYTES));
         caller.out.extend_from_slice(answers);
         if let Session::Known(token) = &mut caller.session {
@@ -342,8 +399,11 @@
     /// Tells a caller that its write may or may not be done.
     pub(crate) fn report_unknown(&mut self, key: CallerKey, reason: &'static str) {
         self.metrics.unknown.add(reason);
-        let Some(caller) = self.callers.get_mut(key) else { return };
-        let text = format!("the outcome of the write is not known ({reason}); it may be done or not");
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
+        let text =
+            format!("the outcome of the write is not known ({reason}); it may be done or not");
         pg::error(&mut caller.out, Severity::Error, UNKNOWN, &text);
         pg::ready(&mut caller.out, Status::Idle);
         caller.status = Status::Idle;
@@ -357,15 +417,21 @@
 
     /// A connection has ended, or can't be used any more.
     pub(crate) fn on_conn_lost(&mut self, now: Instant, key: ConnKey) {
-        let Some(conn) = self.conns.get_mut(key) else { return };
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
         let (caller, wait, replay) = (conn.caller.take(), conn.wait.take(), conn.replay.take());
         let forwarded = conn.forwarded;
         let sent_commit = wait.as_ref().zip(caller).is_some_and(|(wait, caller)| {
-            self.callers.get(caller).is_some_and(|caller| caller.may_commit(&wait.batch))
+            self.callers
+                .get(caller)
+                .is_some_and(|caller| caller.may_commit(&wait.batch))
         });
         self.close_conn(now, key);
         let Some(caller_key) = caller else { return };
-        let Some(caller) = self.callers.get_mut(caller_key) else { return };
+        let Some(caller) = self.callers.get_mut(caller_key) else {
+            return;
+        };
         caller.bound = None;
         let Some(wait) = wait else {
             // Between two batches of a transaction: the caller hears of it at its next batch.
@@ -383,7 +449,8 @@
         if sent_commit {
             return self.report_unknown(caller_key, "target_lost");
         }
-        let replay = replay.filter(|_| !forwarded && wait.retries < MAX_RETRIES && now < wait.deadline);
+        let replay =
+            replay.filter(|_| !forwarded && wait.retries < MAX_RETRIES && now < wait.deadline);
         match replay {
             Some(bytes) => self.repeat(now, caller_key, wait, &bytes),
             None => self.report_lost(caller_key, &wait),
@@ -392,7 +459,9 @@
 
     /// Sends a read again whose target was lost before any of its answer was passed on.
     fn repeat(&mut self, now: Instant, key: CallerKey, mut wait: Wait, bytes: &[u8]) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         self.metrics.common.retries.add("read_target_lost");
         let mut inbox = BytesMut::with_capacity(bytes.len() + caller.inbox.len());
         inbox.extend_from_slice(bytes);
@@ -405,14 +474,20 @@
     /// Tells a caller that its statement had no effect, since its target was lost.
     fn report_lost(&mut self, key: CallerKey, wait: &Wait) {
         self.metrics.common.refusals.add("target_lost");
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         let text = "not run: the target was lost, and what the statement did was rolled back";
         pg::error(&mut caller.out, Severity::Error, TARGET_LOST, text);
         let begins = wait.batch.work.begins.is_some() && !wait.batch.work.commits;
         if begins && caller.transaction.is_none() {
             caller.transaction = Some(Transaction::default());
         }
-        caller.status = if caller.transaction.is_some() { Status::Failed } else { Status::Idle };
+        caller.status = if caller.transaction.is_some() {
+            Status::Failed
+        } else {
+            Status::Idle
+        };
         if wait.batch.end == End::Flush {
             caller.skip_to_sync(self.settings.max_frame);
         } else {
@@ -424,7 +499,9 @@
 
     /// Closes a connection at once; what it worked on is not reported.
     pub(crate) fn close_conn(&mut self, now: Instant, key: ConnKey) {
-        let Some(conn) = self.conns.remove(key) else { return };
+        let Some(conn) = self.conns.remove(key) else {
+            return;
+        };
         let server = &mut self.servers[conn.server];
         if let Some(ticket) = conn.ticket {
             server.queue.abandon(ticket);
@@ -469,7 +546,10 @@
                 read_only: work.begins == Some(true),
                 wrote: self.unsynced_wrote,
             });
-            Transaction { wrote: last.wrote || wrote, ..last }
+            Transaction {
+                wrote: last.wrote || wrote,
+                ..last
+            }
         });
         self.unsynced_wrote = false;
     }
--- a/components/entry/src/back.rs
+++ b/components/entry/src/back.rs
@@ -52,19 +52,32 @@
     database: &str,
     limit: Duration,
 ) -> Result<Opened, Failure> {
-    timeout(limit, connect(address, user, database)).await.unwrap_or(Err(Failure::Timeout))
+    timeout(limit, connect(address, user, database))
+        .await
+        .unwrap_or(Err(Failure::Timeout))
 }
 
 async fn connect(address: SocketAddr, user: &str, database: &str) -> Result<Opened, Failure> {
-    let mut socket = TcpStream::connect(address).await.map_err(|_| Failure::Closed)?;
+    let mut socket = TcpStream::connect(address)
+        .await
+        .map_err(|_| Failure::Closed)?;
     socket.set_nodelay(true).map_err(|_| Failure::Closed)?;
     let mut out = BytesMut::new();
-    let parameters =
-        [("user", user), ("database", database), ("application_name", "limpettally"), ("client_encoding", "UTF8")];
+    let parameters = [
+        ("user", user),
+        ("database", database),
+        ("application_name", "limpettally"),
+        ("client_encoding", "UTF8"),
+    ];
     pg::start(&mut out, &parameters).map_err(|_| Failure::Refused)?;
     socket.write_all(&out).await.map_err(|_| Failure::Closed)?;
 
-    let mut opened = Opened { socket, process: 0, secret: 0, parameters: Vec::new() };
+    let mut opened = Opened {
+        socket,
+        process: 0,
+        secret: 0,
+        parameters: Vec::new(),
+    };
     let mut buffer = BytesMut::with_capacity(1024);
     loop {
         while let Some(frame) = Frame::first(&buffer, MAX_BYTES).map_err(|_| Failure::Refused)? {
@@ -75,7 +88,11 @@
                 return Ok(opened);
             }
         }
-        let read = opened.socket.read_buf(&mut buffer).await.map_err(|_| Failure::Closed)?;
+        let read = opened
+            .socket
+            .read_buf(&mut buffer)
+            .await
+            .map_err(|_| Failure::Closed)?;
         if read == 0 {
             return Err(Failure::Closed);
         }
@@ -88,13 +105,20 @@
         match frame.tag {
             b'R' if frame.body == AUTH_OK => {}
             b'S' => {
-                let mut texts = frame.body.split(|byte| *byte == 0).map(String::from_utf8_lossy);
+                let mut texts = frame
+                    .body
+                    .split(|byte| *byte == 0)
+                    .map(String::from_utf8_lossy);
                 if let (Some(name), Some(value)) = (texts.next(), texts.next()) {
-                    self.parameters.push((name.into_owned(), value.into_owned()));
+                    self.parameters
+                        .push((name.into_owned(), value.into_owned()));
                 }
             }
             b'K' => {
-                let (process, rest) = frame.body.split_first_chunk::<4>().ok_or(Failure::Refused)?;
+                let (process, rest) = frame
+                    .body
+                    .split_first_chunk::<4>()
+                    .ok_or(Failure::Refused)?;
                 let secret = rest.first_chunk::<4>().ok_or(Failure::Refused)?;
                 self.process = i32::from_be_bytes(*process);
                 self.secret = i32::from_be_bytes(*secret);
--- a/components/entry/src/batch.rs
+++ b/components/entry/src/batch.rs
@@ -86,7 +86,13 @@
     cache: &mut Cache,
 ) -> Result<Option<Batch>, Invalid> {
     let mut frames = Frames::new(bytes, max);
-    let mut scan = Scan { names, table, cache, parsed: Vec::new(), work: Work::default() };
+    let mut scan = Scan {
+        names,
+        table,
+        cache,
+        parsed: Vec::new(),
+        work: Work::default(),
+    };
     while let Some(frame) = frames.next() {
         let end = match Message::try_from(frame?)? {
             Message::Query(text) => {
@@ -103,7 +109,11 @@
             }
         };
         if let Some(end) = end {
-            return Ok(Some(Batch { length: frames.used(), end, work: scan.work }));
+            return Ok(Some(Batch {
+                length: frames.used(),
+                end,
+                work: scan.work,
+            }));
         }
     }
     Ok(None)
@@ -184,9 +194,16 @@
 
     fn add_kind(&mut self, kind: &Kind) {
         match kind {
-            Kind::Set { name, value, local: false } => {
+            Kind::Set {
+                name,
+                value,
+                local: false,
+            } => {
                 self.statements += 1;
-                self.own = Some(Own::Set { name: name.clone(), value: value.clone() });
+                self.own = Some(Own::Set {
+                    name: name.clone(),
+                    value: value.clone(),
+                });
                 return;
             }
             Kind::Show { name } if name.starts_with(crate::own::PREFIX) => {
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -186,9 +186,9 @@
                 Session::Known(token) => self.signer.seal(token),
                 Session::Named(name) => name.to_string(),
             }),
-            "limpettally.max_age_ms" => {
-                Ok(self.max_age.map_or_else(|| "default".to_owned(), |age| age.as_millis().to_string()))
-            }
+            "limpettally.max_age_ms" => Ok(self
+                .max_age
+                .map_or_else(|| "default".to_owned(), |age| age.as_millis().to_string())),
             "limpettally.weight" => Ok(match self.weight {
                 Weight::Interactive => "interactive".to_owned(),
                 Weight::Batch => "batch".to_owned(),
@@ -200,15 +200,19 @@
     fn set(&mut self, name: &str, value: &str) -> Result<(), Refusal> {
         match name {
             "limpettally.session" => {
-                *self.session = Session::read(self.signer, value)
-                    .map_err(|refusal| Refusal { code: "28L01", text: refusal.to_string() })?;
+                *self.session = Session::read(self.signer, value).map_err(|refusal| Refusal {
+                    code: "28L01",
+                    text: refusal.to_string(),
+                })?;
             }
             "limpettally.max_age_ms" if value.is_empty() || value == "default" => {
                 *self.max_age = None;
             }
             "limpettally.max_age_ms" => {
                 let age = value.parse().map(Duration::from_millis).ok();
-                let age = age.filter(|age| *age <= MAX_AGE).ok_or_else(|| invalid(name, value))?;
+                let age = age
+                    .filter(|age| *age <= MAX_AGE)
+                    .ok_or_else(|| invalid(name, value))?;
                 *self.max_age = Some(age);
             }
             "limpettally.weight" => {
@@ -219,7 +223,12 @@
                 };
             }
             _ if name.starts_with(crate::own::PREFIX) => return Err(unknown(name)),
-            "client_encoding" if !matches!(&*value.to_ascii_lowercase(), "" | "utf8" | "utf-8" | "unicode") => {
+            "client_encoding"
+                if !matches!(
+                    &*value.to_ascii_lowercase(),
+                    "" | "utf8" | "utf-8" | "unicode"
+                ) =>
+            {
                 return Err(invalid(name, value));
             }
             "client_encoding" => {}
@@ -246,11 +255,17 @@
 }
 
 fn unknown(name: &str) -> Refusal {
-    Refusal { code: "42704", text: format!("unrecognized configuration parameter \"{name}\"") }
+    Refusal {
+        code: "42704",
+        text: format!("unrecognized configuration parameter \"{name}\""),
+    }
 }
 
 fn invalid(name: &str, value: &str) -> Refusal {
-    Refusal { code: "22023", text: format!("invalid value for parameter \"{name}\": \"{value}\"") }
+    Refusal {
+        code: "22023",
+        text: format!("invalid value for parameter \"{name}\": \"{value}\""),
+    }
 }
 
 /// The session of a caller that showed none: a new identity without positions.
@@ -258,4 +273,3 @@
 pub fn new_session(id: u128) -> Session {
     Session::Known(Token::new(id))
 }
-
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -139,7 +139,10 @@
         if !self.lease.valid(now) {
             return Err("lease");
         }
-        let database = self.catalog.as_ref().and_then(|c| c.database(database.as_str()));
+        let database = self
+            .catalog
+            .as_ref()
+            .and_then(|c| c.database(database.as_str()));
         match database.and_then(catalog::Database::writable) {
             Some((_, writable)) if writable == term => Ok(()),
             _ => Err("term"),
@@ -168,7 +171,11 @@
         match &self.state {
             State::Down(at) => Some(*at),
             State::Dialing => None,
-            State::Up { silent_at, renew_at, .. } => Some((*silent_at).min(*renew_at)),
+            State::Up {
+                silent_at,
+                renew_at,
+                ..
+            } => Some((*silent_at).min(*renew_at)),
         }
     }
 
@@ -197,7 +204,11 @@
         };
         let _closed = out.try_send(hello);
         let silent_at = now + self.ttl;
-        self.state = State::Up { out, silent_at, renew_at: now };
+        self.state = State::Up {
+            out,
+            silent_at,
+            renew_at: now,
+        };
     }
 
     /// The stream has ended.
@@ -207,7 +218,11 @@
 
     fn go_down(&mut self, now: Instant) {
         self.next = (self.next + 1) % self.addresses.len();
-        let pause = if self.next == 0 && self.leader.is_none() { RETRY } else { Duration::ZERO };
+        let pause = if self.next == 0 && self.leader.is_none() {
+            RETRY
+        } else {
+            Duration::ZERO
+        };
         self.state = State::Down(now + pause);
     }
 
@@ -275,8 +290,14 @@
                 let command = Command::try_from(command)
                     .map_err(|findings| anyhow::anyhow!("{findings:?}"))
                     .context("command of an update")?;
-                let catalog = self.catalog.as_mut().context("an update before any catalog")?;
-                ensure!(catalog.revision() < Revision(revision), "an update of the past");
+                let catalog = self
+                    .catalog
+                    .as_mut()
+                    .context("an update before any catalog")?;
+                ensure!(
+                    catalog.revision() < Revision(revision),
+                    "an update of the past"
+                );
                 catalog.apply(Revision(revision), &command);
                 // The fence of a change of primary ends when every entry has confirmed it.
                 self.hasten(now);
@@ -287,9 +308,12 @@
                 self.hasten(now);
                 Ok(Change::Catalog)
             }
-            Down::Grant { seq, ttl_ms, revision, quotas } => {
-                self.on_grant(now, seq, ttl_ms, Revision(revision), quotas)
-            }
+            Down::Grant {
+                seq,
+                ttl_ms,
+                revision,
+                quotas,
+            } => self.on_grant(now, seq, ttl_ms, Revision(revision), quotas),
             Down::Redirect { leader } => {
                 self.leader = leader.and_then(|address| address.parse().ok());
                 self.go_down(now);
@@ -317,7 +341,8 @@
         self.granted = seq;
         self.quotas.clear();
         for quota in quotas {
-            self.quotas.insert(Name::try_from(quota.target)?, quota.connections);
+            self.quotas
+                .insert(Name::try_from(quota.target)?, quota.connections);
         }
         if let State::Up { silent_at, .. } = &mut self.state {
             *silent_at = now + ttl;
--- a/components/entry/src/database.rs
+++ b/components/entry/src/database.rs
@@ -97,8 +97,15 @@
             return;
         };
         self.history = database.history().clone();
-        let primary = database.primary().and_then(|primary| catalog.target(primary.as_str()));
-        let any = || catalog.members(name.as_str()).next().map(|(_, target)| target);
+        let primary = database
+            .primary()
+            .and_then(|primary| catalog.target(primary.as_str()));
+        let any = || {
+            catalog
+                .members(name.as_str())
+                .next()
+                .map(|(_, target)| target)
+        };
         if let Some(target) = primary.or_else(any) {
             self.settings = Settings::from(target.values());
         }
@@ -112,7 +119,9 @@
             (None, Some(_)) => {
                 let hold = || now + self.settings.queue_wait;
                 let held = database.is_held();
-                Phase::Fenced { hold: held.then(|| *self.hold_until.get_or_insert_with(hold)) }
+                Phase::Fenced {
+                    hold: held.then(|| *self.hold_until.get_or_insert_with(hold)),
+                }
             }
         };
     }
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -26,7 +26,9 @@
 impl Loop {
     /// Starts a caller's next batch if it has a complete one.
     pub(crate) fn advance(&mut self, now: Instant, key: CallerKey) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         if !matches!(caller.state, State::Idle) {
             return;
         }
@@ -50,7 +52,12 @@
             Ok(Some(batch)) => self.dispatch(now, key, batch),
             Err(invalid) => {
                 self.metrics.common.refusals.add("invalid_frame");
-                pg::error(&mut caller.out, Severity::Fatal, "08P01", &invalid.to_string());
+                pg::error(
+                    &mut caller.out,
+                    Severity::Fatal,
+                    "08P01",
+                    &invalid.to_string(),
+                );
                 caller.closing = true;
                 caller.inbox.clear();
                 self.dirty_callers.push(key);
@@ -59,9 +66,14 @@
     }
 
     fn dispatch(&mut self, now: Instant, key: CallerKey, batch: Batch) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         let lost = caller.transaction.is_some() && caller.bound.is_none();
-        let (target, own) = (batch.work.target || batch.work.portal, batch.work.own.is_some());
+        let (target, own) = (
+            batch.work.target || batch.work.portal,
+            batch.work.own.is_some(),
+        );
         if lost {
             return self.answer_lost(now, key, &batch);
         }
@@ -75,10 +87,16 @@
         if let Some(binding) = batch.work.bound
             && !(binding == sql::Binding::Sequence && caller.transaction.is_some())
         {
-            let text = format!("not run: needs a connection of its own ({binding:?}), which a shared target connection can't give");
+            let text = format!(
+                "not run: needs a connection of its own ({binding:?}), which a shared target connection can't give"
+            );
             return self.refuse_batch(now, key, &batch, "session_bound", "0A000", &text);
         }
-        let settings = self.databases.get(&caller.database).map(|d| d.settings).unwrap_or_default();
+        let settings = self
+            .databases
+            .get(&caller.database)
+            .map(|d| d.settings)
+            .unwrap_or_default();
         let wait = Wait {
             batch,
             wait_until: now + settings.read_wait,
@@ -93,11 +111,17 @@
 
     /// Chooses a target for a batch, or lets it wait for one.
     pub(crate) fn route(&mut self, now: Instant, key: CallerKey, wait: Wait) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
-        let Some(database) = self.databases.get_mut(&caller.database) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
+        let Some(database) = self.databases.get_mut(&caller.database) else {
+            return;
+        };
         let work = &wait.batch.work;
         let kind = match work.begins {
-            Some(read_only) => Kind::Begin { read_only: read_only && !work.writes },
+            Some(read_only) => Kind::Begin {
+                read_only: read_only && !work.writes,
+            },
             None if work.writes => Kind::Write,
             None => Kind::Read,
         };
@@ -130,7 +154,8 @@
             Choice::Target(server) => self.submit(now, key, server, wait),
             Choice::Wait { until, watch } => {
                 database.routing.push(key);
-                self.timers.add(until, Due::Routing(caller.database.clone()));
+                self.timers
+                    .add(until, Due::Routing(caller.database.clone()));
                 caller.state = State::Routing(wait);
                 if let Some(server) = watch {
                     self.watch_soon(now, server);
@@ -145,7 +170,9 @@
     }
 
     fn submit(&mut self, now: Instant, key: CallerKey, index: usize, wait: Wait) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         let server = &mut self.servers[index];
         let class = match caller.weight {
             Weight::Interactive => Class::Interactive,
@@ -174,11 +201,15 @@
         let server = &mut self.servers[index];
         let mut events = Vec::new();
         let idle = server.pool.count().idle as usize;
-        server.queue.schedule(idle, &mut server.shapes, now, &mut events);
+        server
+            .queue
+            .schedule(idle, &mut server.shapes, now, &mut events);
         for event in events {
             match event {
                 QueueEvent::Start(ticket) => self.start(now, index, ticket),
-                QueueEvent::Refuse(ticket, refusal) => self.refuse_ticket(now, index, ticket, refusal),
+                QueueEvent::Refuse(ticket, refusal) => {
+                    self.refuse_ticket(now, index, ticket, refusal)
+                }
             }
         }
         let server = &mut self.servers[index];
@@ -195,7 +226,12 @@
         self.act_on_pool(now, index, actions);
     }
 
-    pub(crate) fn act_on_pool(&mut self, now: Instant, index: usize, actions: Vec<connection::Action>) {
+    pub(crate) fn act_on_pool(
+        &mut self,
+        now: Instant,
+        index: usize,
+        actions: Vec<connection::Action>,
+    ) {
         for action in actions {
             match action {
                 connection::Action::Open(id) => {
@@ -215,7 +251,9 @@
 
     /// Starts opening a connection.
     pub(crate) fn open(&mut self, index: usize, purpose: Use) -> ConnKey {
-        let key = self.conns.insert(Conn::new(index, purpose, crate::process::now()));
+        let key = self
+            .conns
+            .insert(Conn::new(index, purpose, crate::process::now()));
         let server = &self.servers[index];
         let (address, database) = (server.address, server.database.clone());
         let (user, events) = (self.settings.target_user.clone(), self.events.clone());
@@ -226,8 +264,16 @@
         key
     }
 
-    fn refuse_ticket(&mut self, now: Instant, index: usize, ticket: pool::Ticket, refusal: queue::Refusal) {
-        let Some(key) = self.servers[index].tickets.remove(&ticket) else { return };
+    fn refuse_ticket(
+        &mut self,
+        now: Instant,
+        index: usize,
+        ticket: pool::Ticket,
+        refusal: queue::Refusal,
+    ) {
+        let Some(key) = self.servers[index].tickets.remove(&ticket) else {
+            return;
+        };
         let (label, code) = (refusal.label(), refusal.sqlstate());
         self.refuse(now, key, label, code, &refusal.to_string());
     }
@@ -303,7 +349,11 @@
         }
         let done = exchange.is_done();
         conn.exchange = Some(exchange);
-        conn.replay = wait.batch.work.is_repeatable(caller.transaction.is_some()).then_some(bytes);
+        conn.replay = wait
+            .batch
+            .work
+            .is_repeatable(caller.transaction.is_some())
+            .then_some(bytes);
         caller.state = State::Running(conn_key);
         conn.wait = Some(wait);
         self.dirty_conns.push(conn_key);
@@ -315,7 +365,9 @@
     // --- Answers without a target -----------------------------------------------------------------
 
     fn answer_own(&mut self, _now: Instant, key: CallerKey, batch: &Batch) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         let bytes = caller.inbox.split_to(batch.length);
         let frames = Frames::new(&bytes, usize::MAX);
         let status = caller.status;
@@ -323,7 +375,15 @@
         let mut out = caller.out.split();
         let mut names = std::mem::take(&mut caller.names);
         let mut view = caller.view(&self.signer);
-        own::answer(frames, &own, &mut view, &mut names, &mut self.statements, status, &mut out);
+        own::answer(
+            frames,
+            &own,
+            &mut view,
+            &mut names,
+            &mut self.statements,
+            status,
+            &mut out,
+        );
         caller.names = names;
         caller.out.unsplit(out);
         self.dirty_callers.push(key);
@@ -333,7 +393,9 @@
     /// Answers a batch in a transaction whose target was lost: only its end is accepted, so that no
     /// later statement runs outside the transaction that its caller believes to be in.
     fn answer_lost(&mut self, now: Instant, key: CallerKey, batch: &Batch) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         if batch.work.commits || batch.work.rolls_back {
             caller.transaction = None;
             caller.status = Status::Idle;
@@ -344,13 +406,30 @@
         if batch.work.statements == 0 {
             return self.answer_own(now, key, batch);
         }
-        let text = "current transaction is aborted: its target was lost, and nothing of it was kept";
-        self.refuse_batch(now, key, batch, "transaction_lost", IN_FAILED_TRANSACTION, text);
+        let text =
+            "current transaction is aborted: its target was lost, and nothing of it was kept";
+        self.refuse_batch(
+            now,
+            key,
+            batch,
+            "transaction_lost",
+            IN_FAILED_TRANSACTION,
+            text,
+        );
     }
 
     /// Refuses a caller's waiting batch as not run.
-    pub(crate) fn refuse(&mut self, now: Instant, key: CallerKey, label: &'static str, code: &str, text: &str) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
+    pub(crate) fn refuse(
+        &mut self,
+        now: Instant,
+        key: CallerKey,
+        label: &'static str,
+        code: &str,
+        text: &str,
+    ) {
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         match std::mem::replace(&mut caller.state, State::Idle) {
             State::Routing(wait) | State::Queued(wait, ..) => {
                 self.refuse_batch(now, key, &wait.batch, label, code, text);
@@ -370,7 +449,9 @@
         text: &str,
     ) {
         self.metrics.common.refusals.add(label);
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         caller.inbox.advance(batch.length);
         pg::error(&mut caller.out, Severity::Error, code, text);
         if caller.transaction.is_some() {
@@ -389,7 +470,9 @@
 
     /// Takes a caller's waiting batch out of where it waits.
     pub(crate) fn withdraw(&mut self, key: CallerKey) {
-        let Some(caller) = self.callers.get(key) else { return };
+        let Some(caller) = self.callers.get(key) else {
+            return;
+        };
         match &caller.state {
             State::Routing(_) => {
                 if let Some(database) = self.databases.get_mut(&caller.database) {
@@ -407,9 +490,13 @@
 
     /// Routes the statements of a database that wait, as something they wait for has changed.
     pub(crate) fn reroute(&mut self, now: Instant, database: &types::Name) {
-        let Some(state) = self.databases.get_mut(database) else { return };
+        let Some(state) = self.databases.get_mut(database) else {
+            return;
+        };
         for key in std::mem::take(&mut state.routing) {
-            let Some(caller) = self.callers.get_mut(key) else { continue };
+            let Some(caller) = self.callers.get_mut(key) else {
+                continue;
+            };
             match std::mem::replace(&mut caller.state, State::Idle) {
                 State::Routing(wait) => self.route(now, key, wait),
                 state => caller.state = state,
@@ -425,7 +512,10 @@
     }
     let quote = |text: &str| text.replace('\'', "''");
     let mut text = String::new();
-    for (name, _) in present.iter().filter(|(name, _)| !wanted.iter().any(|(w, _)| w == name)) {
+    for (name, _) in present
+        .iter()
+        .filter(|(name, _)| !wanted.iter().any(|(w, _)| w == name))
+    {
         text.push_str(&format!("RESET {name};"));
     }
     for (name, value) in wanted {
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -38,7 +38,9 @@
                 if events.send(Event::Dialed(dial, Some(out))).await.is_err() {
                     return;
                 }
-                stream.run(outgoing, events, move |event| Event::Control(dial, event)).await;
+                stream
+                    .run(outgoing, events, move |event| Event::Control(dial, event))
+                    .await;
             });
         }
         if self.control.renewal_due(now) {
@@ -47,7 +49,12 @@
         }
     }
 
-    pub(crate) fn on_dialed(&mut self, now: Instant, dial: u64, out: Option<mpsc::Sender<wire::Up>>) {
+    pub(crate) fn on_dialed(
+        &mut self,
+        now: Instant,
+        dial: u64,
+        out: Option<mpsc::Sender<wire::Up>>,
+    ) {
         if dial != self.dial {
             return;
         }
@@ -98,17 +105,23 @@
         Report {
             demand: demand.collect(),
             health: health.collect(),
-            announcements: announcements.map(|(announcement, _)| announcement.into()).collect(),
+            announcements: announcements
+                .map(|(announcement, _)| announcement.into())
+                .collect(),
             within_quotas: known().all(|server| server.pool.count().total() <= server.pool.quota()),
         }
     }
 
     /// Follows the quotas of a new grant, or their end with the lease.
     pub(crate) fn on_quotas(&mut self, now: Instant) {
-        let Some(catalog) = self.control.catalog() else { return };
+        let Some(catalog) = self.control.catalog() else {
+            return;
+        };
         let mut due = Vec::new();
         for (index, server) in self.servers.iter_mut().enumerate().filter(|(_, s)| s.known) {
-            let floor = catalog.target(server.name.as_str()).map_or(0, |t| t.values().connections_floor);
+            let floor = catalog
+                .target(server.name.as_str())
+                .map_or(0, |t| t.values().connections_floor);
             let quota = self.control.quota(now, &server.name, floor);
             if quota == server.quota {
                 continue;
@@ -127,7 +140,9 @@
 
     /// Follows a change of the catalog.
     pub(crate) fn on_catalog(&mut self, now: Instant) {
-        let Some(catalog) = self.control.catalog() else { return };
+        let Some(catalog) = self.control.catalog() else {
+            return;
+        };
         for server in &mut self.servers {
             server.known = catalog.target(server.name.as_str()).is_some();
         }
@@ -146,12 +161,19 @@
         }
         let mut changed = Vec::new();
         for (name, _) in catalog.databases() {
-            let database = self.databases.entry(name.clone()).or_insert_with(Database::new);
+            let database = self
+                .databases
+                .entry(name.clone())
+                .or_insert_with(Database::new);
             let before = (database.phase, database.history.current());
             let members = catalog.members(name.as_str());
             database.servers.clear();
-            database.servers.extend(members.filter_map(|(target, _)| self.indices.get(target)));
-            database.configure(now, name, catalog, |target| self.indices.get(target).copied());
+            database
+                .servers
+                .extend(members.filter_map(|(target, _)| self.indices.get(target)));
+            database.configure(now, name, catalog, |target| {
+                self.indices.get(target).copied()
+            });
             if before != (database.phase, database.history.current()) {
                 changed.push(name.clone());
             }
@@ -168,7 +190,10 @@
     }
 
     fn on_change_of_primary(&mut self, now: Instant, name: &Name) {
-        let term = self.databases.get(name).and_then(|database| database.history.current());
+        let term = self
+            .databases
+            .get(name)
+            .and_then(|database| database.history.current());
         tracing::info!(
             database = %name,
             term = term.map(|term| term.0),
@@ -186,7 +211,9 @@
     /// Routes the waiting statements of a database anew: their target may have been fenced, may be
     /// leaving, or may serve again.
     fn requeue(&mut self, now: Instant, name: &Name) {
-        let Some(database) = self.databases.get(name) else { return };
+        let Some(database) = self.databases.get(name) else {
+            return;
+        };
         let mut queued = Vec::new();
         for index in database.servers.clone() {
             let server = &mut self.servers[index];
@@ -198,7 +225,9 @@
         // In the order of their arrival.
         queued.sort_unstable_by_key(|(ticket, _)| *ticket);
         for (_, key) in queued {
-            let Some(caller) = self.callers.get_mut(key) else { continue };
+            let Some(caller) = self.callers.get_mut(key) else {
+                continue;
+            };
             match std::mem::replace(&mut caller.state, State::Idle) {
                 State::Queued(wait, ..) => self.route(now, key, wait),
                 state => caller.state = state,
@@ -209,11 +238,18 @@
 
     /// Takes the catalog of an earlier start from its file.
     pub(crate) fn restore(&mut self, now: Instant) {
-        let Some(path) = &self.settings.cache else { return };
-        let Ok(bytes) = std::fs::read(path) else { return };
+        let Some(path) = &self.settings.cache else {
+            return;
+        };
+        let Ok(bytes) = std::fs::read(path) else {
+            return;
+        };
         match Catalog::decode(&bytes) {
             Ok(catalog) => {
-                tracing::info!(revision = catalog.revision().0, "catalog of an earlier start");
+                tracing::info!(
+                    revision = catalog.revision().0,
+                    "catalog of an earlier start"
+                );
                 self.control.restore(catalog);
                 self.on_catalog(now);
             }
--- a/components/entry/src/front.rs
+++ b/components/entry/src/front.rs
@@ -110,7 +110,11 @@
 
 impl Start {
     fn new(socket: TcpStream, logins: mpsc::Sender<Login>) -> Self {
-        Self { socket, logins, buffer: BytesMut::with_capacity(MAX_BYTES) }
+        Self {
+            socket,
+            logins,
+            buffer: BytesMut::with_capacity(MAX_BYTES),
+        }
     }
 
     async fn run(mut self) -> Result<Outcome> {
@@ -150,19 +154,33 @@
         self.refuse(Reason::Protocol).await
     }
 
-    async fn authenticate(mut self, parameters: Vec<(String, String)>, minor: i32) -> Result<Outcome> {
-        let user = parameters.iter().find(|(name, _)| name == "user").map(|(_, user)| user.clone());
+    async fn authenticate(
+        mut self,
+        parameters: Vec<(String, String)>,
+        minor: i32,
+    ) -> Result<Outcome> {
+        let user = parameters
+            .iter()
+            .find(|(name, _)| name == "user")
+            .map(|(_, user)| user.clone());
         let Some(user) = user else {
             return self.refuse(Reason::Protocol).await;
         };
         self.negotiate(&parameters, minor).await?;
         let (reply, verifier) = oneshot::channel();
-        self.logins.send(Login { user, reply }).await.context("the loop has ended")?;
+        self.logins
+            .send(Login { user, reply })
+            .await
+            .context("the loop has ended")?;
         let verifier = verifier.await.context("the loop has ended")?;
         match self.scram(verifier).await? {
             Ok(()) => {
                 let Self { socket, buffer, .. } = self;
-                let started = Started { socket, rest: buffer, parameters };
+                let started = Started {
+                    socket,
+                    rest: buffer,
+                    parameters,
+                };
                 Ok(Outcome::Started(Box::new(started)))
             }
             Err(reason) => self.refuse(reason).await,
@@ -171,8 +189,11 @@
 
     /// Tells a caller with a later minor version or protocol options that 3.0 is spoken.
     async fn negotiate(&mut self, parameters: &[(String, String)], minor: i32) -> Result<()> {
-        let options: Vec<&str> =
-            parameters.iter().map(|(name, _)| &**name).filter(|name| name.starts_with("_pq_.")).collect();
+        let options: Vec<&str> = parameters
+            .iter()
+            .map(|(name, _)| &**name)
+            .filter(|name| name.starts_with("_pq_."))
+            .collect();
         if minor > 0 || !options.is_empty() {
             let mut out = BytesMut::new();
             pg::negotiate(&mut out, &options);
@@ -206,9 +227,10 @@
         let Some(response) = self.password_message().await? else {
             return Ok(Err(Reason::Protocol));
         };
-        let Ok(last) = str::from_utf8(&response).map_err(drop).and_then(|text| {
-            last.handle_client_final(text).map_err(drop)
-        }) else {
+        let Ok(last) = str::from_utf8(&response)
+            .map_err(drop)
+            .and_then(|text| last.handle_client_final(text).map_err(drop))
+        else {
             return Ok(Err(Reason::Password));
         };
         let (status, signature) = last.server_final();
@@ -256,7 +278,11 @@
 impl Verifier {
     /// A verifier that no password matches, with the shape of a real one.
     fn unknown() -> Self {
-        Self { hash: rand::random::<[u8; 32]>().to_vec(), salt: rand::random::<[u8; 16]>().to_vec(), iterations: 4096 }
+        Self {
+            hash: rand::random::<[u8; 32]>().to_vec(),
+            salt: rand::random::<[u8; 16]>().to_vec(),
+            iterations: 4096,
+        }
     }
 }
 
@@ -266,15 +292,23 @@
 
 impl AuthenticationProvider for Provider {
     fn get_password_for(&self, _user: &str) -> Option<PasswordInfo> {
-        let Verifier { hash, salt, iterations } = self.0.clone();
+        let Verifier {
+            hash,
+            salt,
+            iterations,
+        } = self.0.clone();
         Some(PasswordInfo::new(hash, iterations, salt))
     }
 }
 
 /// Data of a SASLInitialResponse for SCRAM-SHA-256.
 fn initial_response(body: &[u8]) -> Option<&str> {
-    let rest = body.strip_prefix(pg::SCRAM_SHA_256.as_bytes())?.strip_prefix(&[0])?;
+    let rest = body
+        .strip_prefix(pg::SCRAM_SHA_256.as_bytes())?
+        .strip_prefix(&[0])?;
     let (length, data) = rest.split_first_chunk::<4>()?;
     let length = usize::try_from(i32::from_be_bytes(*length)).ok()?;
-    str::from_utf8(data).ok().filter(|data| data.len() == length)
+    str::from_utf8(data)
+        .ok()
+        .filter(|data| data.len() == length)
 }
--- a/components/entry/src/io.rs
+++ b/components/entry/src/io.rs
@@ -54,7 +54,13 @@
     let (pace, paces) = mpsc::unbounded_channel();
     spawn_local(write(writer, outgoing));
     spawn_local(self::read(reader, read, paces, events, wrap));
-    Handle { out, pace, paused: false, backlog: VecDeque::new(), backlog_bytes: 0 }
+    Handle {
+        out,
+        pace,
+        paused: false,
+        backlog: VecDeque::new(),
+        backlog_bytes: 0,
+    }
 }
 
 impl Handle {
@@ -141,7 +147,12 @@
     events: mpsc::Sender<E>,
     wrap: W,
 ) {
-    if !buffer.is_empty() && events.send(wrap(Event::Bytes(buffer.split()))).await.is_err() {
+    if !buffer.is_empty()
+        && events
+            .send(wrap(Event::Bytes(buffer.split())))
+            .await
+            .is_err()
+    {
         return;
     }
     let mut pace = Pace::Read;
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -37,8 +37,14 @@
     "parameter",
 ];
 /// Reasons of the counter `unknown_outcomes`.
-const UNKNOWN: [&str; 6] =
-    ["lease", "term", "target_lost", "ack_timeout", "no_position", "stopping"];
+const UNKNOWN: [&str; 6] = [
+    "lease",
+    "term",
+    "target_lost",
+    "ack_timeout",
+    "no_position",
+    "stopping",
+];
 /// Reasons of the counter `retries`.
 const RETRIES: [&str; 2] = ["read_target_lost", "not_started"];
 
@@ -73,8 +79,14 @@
         common.refusals.declare(&REFUSALS);
         common.retries.declare(&RETRIES);
         let set = Self {
-            unknown: common.reasons("unknown_outcomes", "Statements whose outcome is unknown, by reason"),
-            target_failures: common.reasons("target_failures", "Connections to targets that failed, by reason"),
+            unknown: common.reasons(
+                "unknown_outcomes",
+                "Statements whose outcome is unknown, by reason",
+            ),
+            target_failures: common.reasons(
+                "target_failures",
+                "Connections to targets that failed, by reason",
+            ),
             cancels: common.reasons("cancels", "Cancel requests, by what became of them"),
             callers: common.gauge("callers", "Callers connected"),
             batches: common.reasons("batches", "Batches answered, by where they ran"),
--- a/components/entry/src/own.rs
+++ b/components/entry/src/own.rs
@@ -98,9 +98,9 @@
             pg::text_row(out, &value);
             pg::complete(out, "SHOW");
         }),
-        Own::Set { name, value } => {
-            parameters.set(name, value).map(|()| pg::complete(out, "SET"))
-        }
+        Own::Set { name, value } => parameters
+            .set(name, value)
+            .map(|()| pg::complete(out, "SET")),
         Own::Rollback => {
             pg::complete(out, "ROLLBACK");
             Ok(())
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -129,7 +129,14 @@
         let verifier = |caller: &settings::Caller| {
             let iterations = u16::try_from(caller.iterations).unwrap_or(u16::MAX);
             let (hash, salt) = (caller.hash.clone(), caller.salt.clone());
-            (caller.user.clone(), Verifier { hash, salt, iterations })
+            (
+                caller.user.clone(),
+                Verifier {
+                    hash,
+                    salt,
+                    iterations,
+                },
+            )
         };
         let boot = rand::RngExt::random(&mut rng);
         let control = Control::new(
@@ -240,15 +247,21 @@
     /// Sends what the turn has produced, one write a connection.
     fn flush(&mut self) {
         for key in std::mem::take(&mut self.dirty_conns) {
-            let Some(conn) = self.conns.get_mut(key) else { continue };
-            let Some(handle) = &mut conn.handle else { continue };
+            let Some(conn) = self.conns.get_mut(key) else {
+                continue;
+            };
+            let Some(handle) = &mut conn.handle else {
+                continue;
+            };
             let events = &self.events;
             handle.send(conn.out.split().freeze(), |out| {
                 io::wait_for_room(out, events.clone(), Event::Conn(key, io::Event::Room));
             });
         }
         for key in std::mem::take(&mut self.dirty_callers) {
-            let Some(caller) = self.callers.get_mut(key) else { continue };
+            let Some(caller) = self.callers.get_mut(key) else {
+                continue;
+            };
             let events = &self.events;
             caller.handle.send(caller.out.split().freeze(), |out| {
                 io::wait_for_room(out, events.clone(), Event::Caller(key, io::Event::Room));
@@ -260,11 +273,23 @@
 
     /// Pauses the target of a caller that does not read, and resumes it.
     pub(crate) fn pace(&mut self, key: CallerKey) {
-        let Some(caller) = self.callers.get(key) else { return };
+        let Some(caller) = self.callers.get(key) else {
+            return;
+        };
         let behind = caller.handle.backlog() > MAX_BACKLOG;
-        let crate::caller::State::Running(conn) = caller.state else { return };
-        if let Some(handle) = self.conns.get_mut(conn).and_then(|conn| conn.handle.as_mut()) {
-            if behind { handle.pause() } else { handle.resume() }
+        let crate::caller::State::Running(conn) = caller.state else {
+            return;
+        };
+        if let Some(handle) = self
+            .conns
+            .get_mut(conn)
+            .and_then(|conn| conn.handle.as_mut())
+        {
+            if behind {
+                handle.pause()
+            } else {
+                handle.resume()
+            }
         }
     }
 
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -24,7 +24,11 @@
                 Due::Acks(name) => self.on_acks(now, &name),
             }
         }
-        let ended = self.control.lease().deadline().is_some_and(|end| end <= now);
+        let ended = self
+            .control
+            .lease()
+            .deadline()
+            .is_some_and(|end| end <= now);
         if ended != self.lease_ended {
             self.lease_ended = ended;
             if ended {
@@ -47,14 +51,28 @@
             Ok(())
         };
         let registry = &self.metrics.common.registry;
-        let Some(request) = observe::endpoint::answer(request, registry, ready) else { return };
-        let Request { method, path, query, token, body, reply } = request;
+        let Some(request) = observe::endpoint::answer(request, registry, ready) else {
+            return;
+        };
+        let Request {
+            method,
+            path,
+            query,
+            token,
+            body,
+            reply,
+        } = request;
         if !observe::token::matches(token.as_deref(), self.settings.token.as_str()) {
             self.metrics.common.refusals.add("unauthorized");
             let encoded = admin::Reply::unauthorized().encode();
             return reply.send(Response::json(encoded.status, encoded.body));
         }
-        let raw = admin::Raw { method: &method, path: &path, query: query.as_deref(), body: &body };
+        let raw = admin::Raw {
+            method: &method,
+            path: &path,
+            query: query.as_deref(),
+            body: &body,
+        };
         let answer = match admin::Request::try_from(raw) {
             Ok(admin::Request::Announce { announcement, ttl }) => {
                 self.on_announcement(now, announcement, ttl);
@@ -75,14 +93,26 @@
     }
 
     /// Keeps an announcement until its deadline; control hears of it with the next renewal.
-    fn on_announcement(&mut self, now: Instant, announcement: types::target::Announcement, ttl: Duration) {
-        let news = self.control.catalog().is_none_or(|catalog| catalog.is_news(&announcement));
-        let known = self.heard.get(&announcement.target).is_some_and(|(old, _)| *old == announcement);
+    fn on_announcement(
+        &mut self,
+        now: Instant,
+        announcement: types::target::Announcement,
+        ttl: Duration,
+    ) {
+        let news = self
+            .control
+            .catalog()
+            .is_none_or(|catalog| catalog.is_news(&announcement));
+        let known = self
+            .heard
+            .get(&announcement.target)
+            .is_some_and(|(old, _)| *old == announcement);
         let index = self.indices.get(&announcement.target).copied();
         if let Some(index) = index {
             self.servers[index].heard = Some((announcement.clone(), now + ttl));
         }
-        self.heard.insert(announcement.target.clone(), (announcement, now + ttl));
+        self.heard
+            .insert(announcement.target.clone(), (announcement, now + ttl));
         self.heard.retain(|_, (_, until)| now < *until);
         if news && !known {
             self.control.hasten(now);
@@ -111,7 +141,9 @@
 
     /// Tells a caller between transactions that the entry stops.
     pub(crate) fn dismiss(&mut self, _now: Instant, key: CallerKey) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         let text = "terminating connection: this entry stops, connect again";
         pg::error(&mut caller.out, Severity::Fatal, "57P01", text);
         caller.closing = true;
@@ -120,7 +152,9 @@
 
     /// Whether a stopping entry has nothing left to do, or no time.
     pub(crate) fn is_stopped(&mut self, now: Instant) -> bool {
-        let Some(stop_at) = self.stop_at else { return false };
+        let Some(stop_at) = self.stop_at else {
+            return false;
+        };
         if self.callers.is_empty() && self.starting == 0 && stop_at > now + FLUSH {
             // The tasks of the last callers still send what they were given.
             self.stop_at = Some(now + FLUSH);
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -159,7 +159,11 @@
     /// A target that was just learnt of.
     #[must_use]
     pub fn new(announcement: &Announcement, now: Instant) -> Self {
-        let limits = connection::Limits { quota: 0, keep: 1, idle: IDLE };
+        let limits = connection::Limits {
+            quota: 0,
+            keep: 1,
+            idle: IDLE,
+        };
         Self {
             name: announcement.target.clone(),
             database: announcement.database.clone(),
@@ -213,13 +217,22 @@
     /// State in force: the catalog's, or leaving if the target itself says so.
     #[must_use]
     pub fn state(&self, now: Instant) -> State {
-        let leaving = self.heard.as_ref().is_some_and(|(a, until)| a.leaving && now < *until);
+        let leaving = self
+            .heard
+            .as_ref()
+            .is_some_and(|(a, until)| a.leaving && now < *until);
         if leaving { State::Leaving } else { self.state }
     }
 
     /// What the choice of a target needs to know of it.
     #[must_use]
-    pub fn candidate(&self, index: usize, domain: &Name, detect: Duration, now: Instant) -> Candidate {
+    pub fn candidate(
+        &self,
+        index: usize,
+        domain: &Name,
+        detect: Duration,
+        now: Instant,
+    ) -> Candidate {
         let load = self.queue.running() + self.queue.waiting();
         Candidate {
             target: index,
@@ -244,7 +257,11 @@
     #[must_use]
     pub fn demand(&self) -> u32 {
         let waiting = u32::try_from(self.queue.waiting()).unwrap_or(u32::MAX);
-        self.pool.count().in_use.saturating_add(waiting).saturating_add(2)
+        self.pool
+            .count()
+            .in_use
+            .saturating_add(waiting)
+            .saturating_add(2)
     }
 }
 
--- a/components/entry/src/watch.rs
+++ b/components/entry/src/watch.rs
@@ -53,7 +53,9 @@
     pub(crate) fn ask(&mut self, now: Instant, index: usize) {
         let server = &mut self.servers[index];
         let Some(key) = server.watch.conn else { return };
-        let Some(conn) = self.conns.get_mut(key) else { return };
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
         server.watch.next_at = None;
         server.watch.asked_at = now;
         let mut exchange = Exchange::default();
@@ -64,7 +66,9 @@
     }
 
     pub(crate) fn on_watch_bytes(&mut self, now: Instant, key: ConnKey) {
-        let Some(conn) = self.conns.get_mut(key) else { return };
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
         let Some(exchange) = &mut conn.exchange else {
             return self.close_conn(now, key);
         };
@@ -96,10 +100,16 @@
 
     fn on_position(&mut self, now: Instant, index: usize, answer: relay::probe::Answer) {
         let server = &mut self.servers[index];
-        let detect = self.databases.get(&server.database).map(|d| d.settings.detect);
+        let detect = self
+            .databases
+            .get(&server.database)
+            .map(|d| d.settings.detect);
         let was_silent = !server.is_up(now, detect.unwrap_or_default());
         let asked = server.watch.asked_at;
-        let observed = Observed { point: answer.point, at: asked };
+        let observed = Observed {
+            point: answer.point,
+            at: asked,
+        };
         server.watch.advanced = server.point() != Some(answer.point);
         server.watch.last = Some((answer.role, observed));
         server.watch.answered_at = now;
@@ -120,15 +130,20 @@
 
     /// Sets the next question: at once while somebody waits and the target makes progress.
     fn schedule_watch(&mut self, now: Instant, index: usize, name: &Name) {
-        let waited = self.databases.get(name).is_some_and(|database| {
-            !database.acks.is_empty() || !database.routing.is_empty()
-        });
+        let waited = self
+            .databases
+            .get(name)
+            .is_some_and(|database| !database.acks.is_empty() || !database.routing.is_empty());
         let server = &mut self.servers[index];
         let replica = matches!(server.watch.last, Some((Role::Replica, _)));
         if waited && replica && server.watch.advanced {
             return self.ask(now, index);
         }
-        let pause = if waited && replica { WATCH_WAITED } else { WATCH_INTERVAL };
+        let pause = if waited && replica {
+            WATCH_WAITED
+        } else {
+            WATCH_INTERVAL
+        };
         server.watch.next_at = Some(now + pause);
         self.timers.add(now + pause, Due::Watch(index));
     }
@@ -137,7 +152,9 @@
     pub(crate) fn watch_soon(&mut self, now: Instant, index: usize) {
         let watch = &self.servers[index].watch;
         let connected = watch.conn.is_some_and(|key| {
-            self.conns.get(key).is_some_and(|conn| conn.handle.is_some())
+            self.conns
+                .get(key)
+                .is_some_and(|conn| conn.handle.is_some())
         });
         if connected && watch.next_at.is_some() {
             self.ask(now, index);
@@ -146,7 +163,9 @@
 
     /// Asks the replicas of a database, as a write waits for them.
     pub(crate) fn watch_replicas(&mut self, now: Instant, name: &Name) {
-        let Some(database) = self.databases.get(name) else { return };
+        let Some(database) = self.databases.get(name) else {
+            return;
+        };
         if database.acks.is_empty() {
             return;
         }
