Keep doubt about a change that lost an answer

After a lost answer, a second instance could refuse the resend with no_quorum, and the operator was told that the change was not accepted although the first instance may have committed it. The client now remembers the doubt over all attempts, and control has a reply for a change that is in its log but not committed.

--- a/components/admin/src/client.rs
+++ b/components/admin/src/client.rs
@@ -4,7 +4,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use anyhow::{Context, Result, bail, ensure};
+use anyhow::{Context, Result, anyhow, bail, ensure};
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST, LOCATION};
 use http::{Method, Request, StatusCode, Uri};
@@ -12,13 +12,12 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
-use serde::de::DeserializeOwned;
 use serde_json::Value;
 use settings::Secret;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::api;
+use crate::{Answer, Tally, Unanswered};
 
 /// Largest reply. A status of 15,600 targets takes about 5 MB.
 const MAX_BYTES: usize = 64 << 20;
@@ -62,51 +61,6 @@
     pub body: String,
 }
 
-/// An answer of a control instance.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Answer {
-    /// Status.
-    pub status: StatusCode,
-    /// JSON; null for a reply without a body.
-    pub body: Value,
-}
-
-/// Why a call was not carried out.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Refusal {
-    /// Another change won.
-    Conflict(api::Conflict),
-    /// The request has faults.
-    Findings(Vec<api::Finding>),
-    /// Any other reason.
-    Failure(api::Failure),
-    /// A reply that is not of this API.
-    Unknown(StatusCode, String),
-}
-
-impl Answer {
-    /// The reply, or why there is none.
-    ///
-    /// # Errors
-    /// Returns the refusal.
-    pub fn decode<T: DeserializeOwned>(&self) -> Result<T, Refusal> {
-        let reply = match self.status {
-            StatusCode::OK => return self.read(),
-            StatusCode::CONFLICT => self.read().map(Refusal::Conflict),
-            StatusCode::UNPROCESSABLE_ENTITY => self
-                .read()
-                .map(|body: api::Findings| Refusal::Findings(body.findings)),
-            _ => self.read().map(Refusal::Failure),
-        };
-        Err(reply.unwrap_or_else(|unknown| unknown))
-    }
-
-    fn read<T: DeserializeOwned>(&self) -> Result<T, Refusal> {
-        T::deserialize(&self.body)
-            .map_err(|error| Refusal::Unknown(self.status, format!("{error} in {}", self.body)))
-    }
-}
-
 impl Call {
     /// A call that reads `path`.
     #[must_use]
@@ -142,33 +96,41 @@
     /// Sends `call` until an instance answers for the leader.
     ///
     /// Goes on to the next instance after a lost answer or one with status 503; a change runs once
-    /// all the same, because its request id stays.
+    /// all the same, because its request id stays. An answer with status 503 is returned only if
+    /// none was lost: what one instance refused, another may have accepted.
     ///
     /// # Errors
-    /// Fails if no instance answers in time. Then a change may or may not have been accepted.
-    pub async fn send(&self, call: &Call) -> Result<Answer> {
+    /// Fails if no instance answers in time.
+    pub async fn send(&self, call: &Call) -> Result<Answer, Unanswered> {
         let deadline = Instant::now() + self.timeout;
-        let mut last = Err(anyhow::anyhow!("no control address is given"));
+        let mut tally = Tally::new(call.method != Method::GET);
         while !self.controls.is_empty() && Instant::now() < deadline {
             for control in &self.controls {
-                let attempt = (Instant::now() + self.patience()).min(deadline);
-                let answer = timeout_at(attempt, self.follow(*control, call)).await;
-                let answer = answer
-                    .context("no answer in time")
-                    .flatten()
-                    .with_context(|| format!("control instance at {control}"));
-                match answer {
-                    Ok(answer) if answer.status != StatusCode::SERVICE_UNAVAILABLE => {
-                        return Ok(answer);
-                    }
-                    // A reply says more than a lost connection.
-                    Err(_) if last.is_ok() => {}
-                    other => last = other,
+                let mut sent = false;
+                let answer = self.attempt(*control, call, deadline, &mut sent).await;
+                if let Some(answer) = tally.on_attempt(answer, sent) {
+                    return Ok(answer);
                 }
             }
             sleep(ROUND_PAUSE.min(deadline - Instant::now())).await;
         }
-        last
+        tally.end()
+    }
+
+    /// Asks one instance. Sets `sent` once the instance that is asked last may have got the call.
+    async fn attempt(
+        &self,
+        control: SocketAddr,
+        call: &Call,
+        deadline: Instant,
+        sent: &mut bool,
+    ) -> Result<Answer> {
+        let limit = (Instant::now() + self.patience()).min(deadline);
+        timeout_at(limit, self.follow(control, call, sent))
+            .await
+            .context("no answer in time")
+            .flatten()
+            .with_context(|| format!("control instance at {control}"))
     }
 
     fn patience(&self) -> Duration {
@@ -176,11 +138,11 @@
         self.timeout / silent.max(1)
     }
 
-    async fn follow(&self, control: SocketAddr, call: &Call) -> Result<Answer> {
+    async fn follow(&self, control: SocketAddr, call: &Call, sent: &mut bool) -> Result<Answer> {
         let mut at = control;
         let mut path = call.path.clone();
         for _ in 0..=MAX_REDIRECTS {
-            match self.exchange(at, &path, call).await? {
+            match self.exchange(at, &path, call, sent).await? {
                 Outcome::Answer(answer) => return Ok(answer),
                 Outcome::Moved(uri) => (at, path) = place(&uri)?,
             }
@@ -188,7 +150,13 @@
         bail!("more than {MAX_REDIRECTS} redirects")
     }
 
-    async fn exchange(&self, at: SocketAddr, path: &str, call: &Call) -> Result<Outcome> {
+    async fn exchange(
+        &self,
+        at: SocketAddr,
+        path: &str,
+        call: &Call,
+        sent: &mut bool,
+    ) -> Result<Outcome> {
         let socket = timeout_at(Instant::now() + CONNECT_TIMEOUT, TcpStream::connect(at))
             .await
             .with_context(|| format!("connect to {at}: no answer in time"))?
@@ -202,10 +170,11 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(call.body.clone())))
             .context("build the request")?;
+        *sent = true;
         let mut reply = pin!(async move {
             let (head, body) = sender.send_request(request).await?.into_parts();
             let body = Limited::new(body, MAX_BYTES).collect().await;
-            let body = body.map_err(|error| anyhow::anyhow!("read the reply: {error}"))?;
+            let body = body.map_err(|error| anyhow!("read the reply: {error}"))?;
             anyhow::Ok((head, body.to_bytes()))
         });
         // The connection may end in the same poll that completes the reply.
@@ -214,6 +183,8 @@
             _ended = connection => reply.await?,
         };
         if head.status == StatusCode::TEMPORARY_REDIRECT {
+            // Whoever redirects a call has not carried it out.
+            *sent = false;
             let location = head.headers.get(LOCATION).context("redirect without URL")?;
             return Ok(Outcome::Moved(Uri::try_from(location.as_bytes())?));
         }
--- a/components/admin/src/generated.rs
+++ b/components/admin/src/generated.rs
@@ -455,7 +455,7 @@
         value.parse()
     }
 }
-///`Reason`
+///With `unknown` a change may have been accepted; with any other reason it was not.
 #[derive(
     ::serde::Deserialize,
     ::serde::Serialize,
@@ -473,6 +473,8 @@
     NoQuorum,
     #[serde(rename = "not_leader")]
     NotLeader,
+    #[serde(rename = "unknown")]
+    Unknown,
     #[serde(rename = "unauthorized")]
     Unauthorized,
     #[serde(rename = "not_found")]
@@ -487,6 +489,7 @@
         match *self {
             Self::NoQuorum => f.write_str("no_quorum"),
             Self::NotLeader => f.write_str("not_leader"),
+            Self::Unknown => f.write_str("unknown"),
             Self::Unauthorized => f.write_str("unauthorized"),
             Self::NotFound => f.write_str("not_found"),
             Self::BadMethod => f.write_str("bad_method"),
@@ -502,6 +505,7 @@
         match value {
             "no_quorum" => Ok(Self::NoQuorum),
             "not_leader" => Ok(Self::NotLeader),
+            "unknown" => Ok(Self::Unknown),
             "unauthorized" => Ok(Self::Unauthorized),
             "not_found" => Ok(Self::NotFound),
             "bad_method" => Ok(Self::BadMethod),
--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -3,6 +3,7 @@
 //! The types in [`api`] are what goes over HTTP; [`Request`] is a checked request and [`Reply`] an
 //! answer to it. Neither knows of sockets, so that another front end can use them.
 
+mod answer;
 mod body;
 pub mod client;
 mod convert;
@@ -16,6 +17,7 @@
 #[path = "generated.rs"]
 pub mod api;
 
+pub use answer::{Answer, Refusal, Tally, Unanswered};
 pub use path::Path;
 pub use reply::{Encoded, Fault, Reply};
 pub use request::{Change, Raw, Request};
--- a/components/admin/src/reply.rs
+++ b/components/admin/src/reply.rs
@@ -47,13 +47,22 @@
 }
 
 impl Reply {
-    /// No quorum has confirmed this instance, so that it can neither read nor change anything.
+    /// No quorum has confirmed this instance, so that it can neither read nor change anything. A
+    /// change that is in its log already gets [`Self::unknown`] instead.
     #[must_use]
     pub fn no_quorum() -> Self {
-        let text = "no quorum of control instances; the change was not accepted";
+        let text = "no quorum of control instances confirms this one";
         Self::Failed(Reason::NoQuorum, text.to_owned())
     }
 
+    /// The change is in the log, but this instance stopped leading before it was committed, so that
+    /// a later leader may commit it.
+    #[must_use]
+    pub fn unknown() -> Self {
+        let text = "it is unknown whether the change was accepted";
+        Self::Failed(Reason::Unknown, text.to_owned())
+    }
+
     /// The bearer token is missing or wrong.
     #[must_use]
     pub fn unauthorized() -> Self {
@@ -148,7 +157,7 @@
 
 fn status(reason: Reason) -> StatusCode {
     match reason {
-        Reason::NoQuorum | Reason::NotLeader => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::NoQuorum | Reason::NotLeader | Reason::Unknown => StatusCode::SERVICE_UNAVAILABLE,
         Reason::Unauthorized => StatusCode::UNAUTHORIZED,
         Reason::NotFound => StatusCode::NOT_FOUND,
         Reason::BadMethod => StatusCode::METHOD_NOT_ALLOWED,
--- a/components/observe/src/http.rs
+++ b/components/observe/src/http.rs
@@ -6,10 +6,10 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{AUTHORIZATION, CONNECTION, CONTENT_TYPE, LOCATION};
 use http::{HeaderMap, Method, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -22,6 +22,10 @@
 /// Pause after a failed accept. Without it, a process that is out of file descriptors spins.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Bytes beyond the limit that are read and dropped. A close with unread bytes resets the connection,
+/// and the client would not see why it was refused.
+const DRAIN: usize = 1 << 20;
+
 /// Bounds on what clients can make the process hold.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -216,10 +220,9 @@
 }
 
 async fn read(body: Incoming, limits: Limits) -> Result<Bytes, Response> {
-    let whole = Limited::new(body, limits.body).collect();
-    match timeout(limits.body_timeout, whole).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Response::text(
+    match timeout(limits.body_timeout, collect(body, limits.body)).await {
+        Ok(Ok(Some(body))) => Ok(body),
+        Ok(Ok(None)) => Err(Response::text(
             StatusCode::PAYLOAD_TOO_LARGE,
             format!("a body may have {} bytes\n", limits.body),
         )),
@@ -231,6 +234,25 @@
     }
 }
 
+/// Reads a body; none if it is larger than `limit`.
+async fn collect(mut body: Incoming, limit: usize) -> hyper::Result<Option<Bytes>> {
+    let mut bytes = BytesMut::new();
+    let mut total = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        total += data.len();
+        if total > limit + DRAIN {
+            return Ok(None);
+        }
+        if total <= limit {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok((total <= limit).then(|| bytes.freeze()))
+}
+
 fn bearer(headers: &HeaderMap) -> Option<&str> {
     let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
     let (scheme, token) = value.split_once(' ')?;
--- a/components/observe/tests/http.rs
+++ b/components/observe/tests/http.rs
@@ -98,6 +98,7 @@
 #[rstest]
 #[case::at_the_limit(64 << 10, "HTTP/1.1 200")]
 #[case::above((64 << 10) + 1, "HTTP/1.1 413")]
+#[case::far_above(1 << 20, "HTTP/1.1 413")]
 #[tokio::test]
 async fn bodies_are_bounded(#[case] bytes: usize, #[case] status: &'static str) {
     with_server(Limits::default(), |address| async move {
--- a/src/failure.rs
+++ b/src/failure.rs
@@ -3,8 +3,8 @@
 use std::fmt::Write;
 use std::process::ExitCode;
 
+use admin::Refusal;
 use admin::api::{Conflict, Failure as Reason, Finding, Reason as Kind};
-use admin::client::Refusal;
 use settings::Report;
 
 /// Outcome of a command that was not carried out.
@@ -97,6 +97,7 @@
         Kind::NoQuorum | Kind::NotLeader => {
             "start the missing control instances, or give more addresses with --control"
         }
+        Kind::Unknown => "repeat the command with the same --request-id",
         Kind::Unauthorized => "give the token with --token-file or LIMPETTALLY_TOKEN",
         Kind::NotFound => "the list subcommands and `limpettally status` show the names",
         Kind::BadMethod => "the control instance has another version than this program",
--- a/src/session.rs
+++ b/src/session.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use admin::api::{Accepted, Id, Operator};
-use admin::client::{Answer, Call, Client};
+use admin::client::{Call, Client};
+use admin::{Answer, Unanswered};
 use anyhow::Context;
 use clap::{Arg, ArgMatches, Command, value_parser};
 use http::{Method, StatusCode};
@@ -69,7 +70,8 @@
         call: &Call,
         render: impl FnOnce(&T) -> String,
     ) -> Result<(), Failure> {
-        self.print(&self.client.send(call).await?, render)
+        let answer = self.client.send(call).await;
+        self.print(&answer.map_err(|unanswered| unanswered.cause)?, render)
     }
 
     /// Sends a change and prints what became of it.
@@ -82,14 +84,8 @@
     ) -> Result<(), Failure> {
         let body = serde_json::to_string(body).context("encode the change")?;
         let call = Call::new(method, path, body);
-        let answer = self.client.send(&call).await.with_context(|| {
-            format!(
-                "it is unknown whether the change was accepted; repeat the command with \
-                 --request-id {} --base {}, which never runs it twice",
-                change.request.as_str(),
-                change.base
-            )
-        })?;
+        let answer = self.client.send(&call).await;
+        let answer = answer.map_err(|unanswered| missing(unanswered, change))?;
         self.print(&answer, accepted)
     }
 
@@ -114,7 +110,9 @@
 
     async fn revision(&self, path: &str) -> Result<u64, Failure> {
         let answer = self.client.send(&Call::get(path)).await;
-        let answer = answer.context("read the base revision; nothing was changed")?;
+        let answer = answer
+            .map_err(|unanswered| unanswered.cause)
+            .context("nothing was changed: the base revision can't be read")?;
         if self.json && answer.status != StatusCode::OK {
             return self
                 .print(&answer, |_: &Revision| String::new())
@@ -173,6 +171,19 @@
         ))
 }
 
+/// Says whether a change without an answer may have been accepted.
+fn missing(unanswered: Unanswered, change: &Change) -> anyhow::Error {
+    let (request, base) = (change.request.as_str(), change.base);
+    unanswered.cause.context(if unanswered.unknown {
+        format!(
+            "it is unknown whether the change was accepted; repeat the command with --request-id \
+             {request} --base {base}, which never runs it twice"
+        )
+    } else {
+        "nothing was changed: no control instance took the request".to_owned()
+    })
+}
+
 fn accepted(reply: &Accepted) -> String {
     let mut text = format!("accepted at revision {}\n", reply.revision);
     if !reply.pending.is_empty() {
