Keep the position at the choice of a primary

A random test promoted a replica whose disk was emptied between choice and promotion: an acknowledged write was lost.

--- a/components/catalog/src/apply.rs
+++ b/components/catalog/src/apply.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use types::target::{Announcement, State};
-use types::{Name, Revision};
+use types::{Name, Point, Revision};
 
 use crate::answers::Answer;
 use crate::catalog::{Catalog, Retired};
@@ -90,7 +90,8 @@
                 database,
                 term,
                 target,
-            } => self.choose(database, *term, target),
+                point,
+            } => self.choose(database, *term, target, *point),
             Command::Open {
                 database,
                 term,
@@ -246,6 +247,7 @@
                 history: types::database::History::default(),
                 phase: Phase::Steady,
                 held: false,
+                point: Point::default(),
                 since: revision,
                 acks: 0,
                 reason: String::new(),
--- a/components/catalog/src/command.rs
+++ b/components/catalog/src/command.rs
@@ -1,7 +1,7 @@
 //! Commands of the replicated log.
 
 use types::target::{Announcement, State};
-use types::{Lsn, Name, Revision, Term};
+use types::{Lsn, Name, Point, Revision, Term};
 
 use crate::change::{Change, Findings, Label};
 use crate::generated::Key;
@@ -62,6 +62,8 @@
         term: Term,
         /// The next primary.
         target: Name,
+        /// Position that it had; its term may not begin before.
+        point: Point,
     },
     /// Ends a change of primary, or names the first primary of a database.
     Open {
@@ -203,6 +205,7 @@
             database,
             term,
             target,
+            point,
         } => {
             let database = name("database", database, findings);
             let target = name("target", target, findings);
@@ -210,6 +213,7 @@
                 database: database?,
                 term: Term(term),
                 target: target?,
+                point: point.into(),
             })
         }
         wire::Command::Open {
@@ -296,10 +300,12 @@
                 database,
                 term,
                 target,
+                point,
             } => Self::Choose {
                 database: database.to_string(),
                 term: term.0,
                 target: target.to_string(),
+                point: (*point).into(),
             },
             Command::Open {
                 database,
--- a/components/catalog/src/database.rs
+++ b/components/catalog/src/database.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use types::database::History;
-use types::{Name, Revision, Term};
+use types::{Name, Point, Revision, Term};
 
 /// How far a change of primary has come.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -38,6 +38,8 @@
     pub(crate) phase: Phase,
     /// In phase `Chosen`: whether the fence was one with hold.
     pub(crate) held: bool,
+    /// Position that the chosen target had.
+    pub(crate) point: Point,
     pub(crate) since: Revision,
     /// Least `write.acks` above 0 in force since the term began; 0 if there was none.
     pub(crate) acks: u32,
@@ -102,6 +104,13 @@
         }
     }
 
+    /// In phase `Chosen`, the position that the target had. A term that begins before it would lack
+    /// acknowledged writes: the target's disk was emptied after the choice.
+    #[must_use]
+    pub const fn point(&self) -> Point {
+        self.point
+    }
+
     /// Revision at which the phase was entered.
     #[must_use]
     pub const fn since(&self) -> Revision {
--- a/components/catalog/src/phase.rs
+++ b/components/catalog/src/phase.rs
@@ -1,6 +1,6 @@
 //! Steps of a change of primary. Each is valid in one phase and term only.
 
-use types::{Lsn, Name, Term};
+use types::{Lsn, Name, Point, Term};
 
 use crate::catalog::Catalog;
 use crate::change::Outcome;
@@ -33,7 +33,13 @@
         Outcome::Applied(revision)
     }
 
-    pub(crate) fn choose(&mut self, name: &Name, term: Term, target: &Name) -> Outcome {
+    pub(crate) fn choose(
+        &mut self,
+        name: &Name,
+        term: Term,
+        target: &Name,
+        point: Point,
+    ) -> Outcome {
         let revision = self.revision;
         if !self.is_member(name, target) {
             return Outcome::refused(target.as_str(), format!("no target of {name}"));
@@ -49,6 +55,7 @@
             return Outcome::refused(target.as_str(), "is the old primary");
         }
         database.held = database.is_held();
+        database.point = point;
         database.since = revision;
         database.phase = Phase::Chosen {
             term,
@@ -72,6 +79,9 @@
             Phase::Steady if same => return Outcome::Unchanged,
             Phase::Steady if last.is_none() && term > Term(0) => begin(database, term, start, acks),
             Phase::Chosen { term: t, target: n } if *t == term && n == target => {
+                if start < database.point.lsn {
+                    return Outcome::refused(target.as_str(), "lacks what it had when chosen");
+                }
                 begin(database, term, start, acks);
             }
             // Undoing a fence: nobody was chosen, so that no target was promoted, and the old
@@ -82,6 +92,7 @@
         database.since = revision;
         database.phase = Phase::Steady;
         database.held = false;
+        database.point = Point::default();
         database.primary = Some(target.clone());
         Outcome::Applied(revision)
     }
--- a/components/catalog/tests/phase.rs
+++ b/components/catalog/tests/phase.rs
@@ -75,6 +75,19 @@
     );
 }
 
+/// A target whose disk was emptied between choice and promotion lacks acknowledged writes.
+#[test]
+fn a_term_does_not_begin_before_the_position_at_the_choice() {
+    let mut log = Log::with_database();
+    log.fence(2, false);
+    log.choose(2, "t2");
+    assert!(is_refused(&log.open(2, "t2", 49)));
+    assert_eq!(
+        log.open(2, "t2", 50),
+        Outcome::Applied(Revision(log.revision))
+    );
+}
+
 /// A repeated last step must not begin the term again at another position.
 #[test]
 fn opening_twice_changes_nothing() {
--- a/components/catalog/tests/support/mod.rs
+++ b/components/catalog/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use catalog::change::Label;
 use catalog::{Catalog, Change, Command, Outcome, Path};
 use types::target::{Announcement, Role, State};
-use types::{Lsn, Name, Revision, Term};
+use types::{Lsn, Name, Point, Revision, Term};
 
 pub fn name(text: &str) -> Name {
     Name::try_from(text).unwrap()
@@ -117,6 +117,10 @@
             database: name("orders"),
             term: Term(term),
             target: name(target),
+            point: Point {
+                term: Term(1),
+                lsn: Lsn(50),
+            },
         })
     }
 
--- a/components/catalog/tests/targets.rs
+++ b/components/catalog/tests/targets.rs
@@ -164,7 +164,7 @@
         database: name("orders"),
         term: types::Term(2),
         target: name("t2"),
-        start: types::Lsn(7),
+        start: types::Lsn(70),
     };
     let next = Revision(log.revision + 1);
     assert_eq!(restored.apply(next, &open), log.catalog.apply(next, &open));
@@ -207,6 +207,10 @@
             database: name("orders"),
             term: types::Term(2),
             target: name("t1"),
+            point: types::Point {
+                term: types::Term(1),
+                lsn: types::Lsn(8),
+            },
         },
         Command::Open {
             database: name("orders"),
--- a/components/failover/src/change.rs
+++ b/components/failover/src/change.rs
@@ -52,6 +52,8 @@
     NoPromotion(Name),
     /// The promoted target is on another term than the one it was promoted for.
     OtherTerm(Name, Term),
+    /// The promoted target lacks what it had when it was chosen: its disk was emptied since.
+    Emptied(Name),
     /// A planned switch has been undone, since no replica caught up in time.
     Undone,
     /// The catalog refused a step.
@@ -68,6 +70,7 @@
             Self::NoSinglePrimary => f.write_str("not exactly one target is the primary"),
             Self::NoPromotion(name) => write!(f, "{name} is chosen and does not answer"),
             Self::OtherTerm(name, term) => write!(f, "{name} is on term {}", term.0),
+            Self::Emptied(name) => write!(f, "{name} lacks what it had when it was chosen"),
             Self::Undone => f.write_str("no replica caught up in time; the switch is undone"),
             Self::Refused(text) => write!(f, "the catalog refused: {text}"),
         }
@@ -202,6 +205,9 @@
         if term != *wanted {
             return work.tell(Reason::OtherTerm(target.clone(), term), out);
         }
+        if start < database.point().lsn {
+            return work.tell(Reason::Emptied(target.clone()), out);
+        }
         work.start = Some(start);
         if let Some(fenced) = self.clock.fenced.take() {
             out.push(Action::Observe(Stage::Promote, now - fenced));
--- a/components/failover/src/choice.rs
+++ b/components/failover/src/choice.rs
@@ -98,7 +98,7 @@
     }
 
     /// The best of the serving replicas that cover `lsn` of the present term.
-    pub fn covering(&self, lsn: Lsn) -> Option<&'a Name> {
+    pub fn covering(&self, lsn: Lsn) -> Option<(&'a Name, Point)> {
         let old = self.database.primary();
         let old = old.and_then(|name| self.catalog.target(name.as_str()));
         let domain = old.map(|target| &target.announcement().domain);
@@ -112,7 +112,7 @@
             (near, Reverse((*name).clone()))
         };
         let best = self.valid().filter(fits).max_by_key(rank);
-        best.map(|(name, _, _)| name)
+        best.map(|(name, _, point)| (name, point))
     }
 
     /// Position of the old primary, if it answers as the primary of the present term.
--- a/components/failover/src/step.rs
+++ b/components/failover/src/step.rs
@@ -5,7 +5,7 @@
 
 use catalog::{Catalog, Command, Database, Phase};
 use types::target::{Role, State};
-use types::{Lsn, Name, Term};
+use types::{Lsn, Name, Point, Term};
 
 use crate::change::{Action, Reason, Signals, Stage};
 use crate::choice::{Ballot, Count};
@@ -269,8 +269,8 @@
             self.ask(true, QUERY);
             let ballot = self.ballot();
             let target = ballot.written().and_then(|lsn| ballot.covering(lsn));
-            if let Some(target) = target.cloned() {
-                return self.choose(term, target);
+            if let Some((target, point)) = target {
+                return self.choose(term, target.clone(), point);
             }
         }
         if self.now >= self.work.entered + HOLD {
@@ -343,16 +343,17 @@
             return;
         }
         let settled = self.database.acks() > 0 || count.had == count.replicas;
-        if let Some((best, _)) = best.filter(|_| settled || self.has_collected()) {
-            self.choose(term, best.clone());
+        if let Some((best, point)) = best.filter(|_| settled || self.has_collected()) {
+            self.choose(term, best.clone(), point);
         }
     }
 
-    fn choose(&mut self, term: Term, target: Name) {
+    fn choose(&mut self, term: Term, target: Name, point: Point) {
         self.propose(Command::Choose {
             database: self.name.clone(),
             term,
             target,
+            point,
         });
     }
 
--- /dev/null
+++ b/components/failover/tests/random.rs
@@ -0,0 +1,218 @@
+//! Random failures, elections, marks and replication.
+//!
+//! Guards the promises of a change of primary: an open primary has every acknowledged write, and
+//! one target at most is promoted for a term.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use catalog::Phase;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
+use support::{FAILED, World};
+use types::Revision;
+use types::target::State;
+
+const TARGETS: [&str; 3] = ["t1", "t2", "t3"];
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Run(u64),
+    Write,
+    Replicate(usize),
+    Down(usize),
+    Up(usize),
+    /// A replica loses its disk.
+    Empty(usize),
+    /// A target is set up again as a replica of the primary.
+    Rejoin(usize),
+    /// Watchers report silence although the primary answers entries that hold old leases.
+    Accuse(bool),
+    /// The leases under older catalogs have ended.
+    Fenced,
+    Elect,
+    Quorum(bool),
+    Mark(usize, State),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let target = 0_usize..3;
+    let state = prop_oneof![
+        Just(State::Serving),
+        Just(State::Draining),
+        Just(State::Leaving)
+    ];
+    prop_oneof![
+        8 => (1_u64..20).prop_map(|steps| Event::Run(steps * 20)),
+        1 => Just(Event::Run(4_000)),
+        8 => Just(Event::Write),
+        8 => target.clone().prop_map(Event::Replicate),
+        2 => target.clone().prop_map(Event::Down),
+        3 => target.clone().prop_map(Event::Up),
+        1 => target.clone().prop_map(Event::Empty),
+        3 => target.clone().prop_map(Event::Rejoin),
+        2 => any::<bool>().prop_map(Event::Accuse),
+        8 => Just(Event::Fenced),
+        1 => Just(Event::Elect),
+        1 => any::<bool>().prop_map(Event::Quorum),
+        2 => (target, state).prop_map(|(index, state)| Event::Mark(index, state)),
+    ]
+}
+
+struct Model {
+    world: World,
+    acks: usize,
+    accused: bool,
+    logs: BTreeMap<&'static str, Vec<u32>>,
+    next: u32,
+    acknowledged: BTreeSet<u32>,
+    since: Revision,
+}
+
+impl Model {
+    fn new(acks: u32) -> Self {
+        let world = World::new(acks);
+        Self {
+            acks: acks as usize,
+            accused: false,
+            logs: TARGETS.map(|target| (target, Vec::new())).into(),
+            next: 0,
+            acknowledged: BTreeSet::new(),
+            since: world.database().since(),
+            world,
+        }
+    }
+
+    /// The primary that entries know, also while some of them have not heard of a fence.
+    fn primary(&self) -> Option<&'static str> {
+        let database = self.world.database();
+        let known = *database.phase() == Phase::Steady || !self.world.fenced;
+        let name = database.primary().filter(|_| known)?;
+        TARGETS.into_iter().find(|target| name.as_str() == *target)
+    }
+
+    fn copy(&mut self, from: &'static str, to: &'static str) {
+        let log = self.logs[from].clone();
+        self.logs.insert(to, log);
+        let source = *self.world.server(from);
+        let target = self.world.server(to);
+        (target.term, target.lsn, target.recovering) = (source.term, source.lsn, true);
+    }
+
+    fn follows(&self, target: &str, primary: &str) -> bool {
+        let server = self.world.servers[target];
+        let prefix = self.logs[primary].starts_with(&self.logs[target]);
+        target != primary && server.up && server.recovering && server.lsn > 0 && prefix
+    }
+
+    fn run(&mut self, event: Event) {
+        let primary = self.primary();
+        let serves =
+            primary.filter(|p| self.world.servers[*p].up && !self.world.servers[*p].recovering);
+        match (event, serves) {
+            (Event::Run(ms), _) => self.steps(ms),
+            (Event::Write, Some(p)) => {
+                self.next += 1;
+                self.logs.entry(p).or_default().push(self.next);
+                self.world.server(p).lsn += 1;
+            }
+            (Event::Replicate(index), Some(p)) if self.follows(TARGETS[index], p) => {
+                self.copy(p, TARGETS[index]);
+                self.acknowledge(p);
+            }
+            (Event::Rejoin(index), Some(p))
+                if self.world.primary().is_some() && TARGETS[index] != p =>
+            {
+                self.copy(p, TARGETS[index]);
+                self.world.server(TARGETS[index]).up = true;
+            }
+            (Event::Empty(index), _) if self.world.servers[TARGETS[index]].recovering => {
+                self.logs.insert(TARGETS[index], Vec::new());
+                let server = self.world.server(TARGETS[index]);
+                (server.term, server.lsn) = (0, 0);
+            }
+            (Event::Down(index), _) => self.world.server(TARGETS[index]).up = false,
+            (Event::Up(index), _) => self.world.server(TARGETS[index]).up = true,
+            (Event::Accuse(accused), _) => self.accused = accused,
+            (Event::Fenced, _) => self.world.fenced = true,
+            (Event::Elect, _) => {
+                self.world.elect();
+                self.world.fenced = false;
+            }
+            (Event::Quorum(quorum), _) => self.world.quorum = quorum,
+            (Event::Mark(index, state), _) => self.world.mark(TARGETS[index], state),
+            _ => {}
+        }
+    }
+
+    /// Writes are acknowledged once enough replicas cover them.
+    fn acknowledge(&mut self, primary: &str) {
+        for id in &self.logs[primary] {
+            let has = |t: &&&str| self.follows(t, primary) && self.logs[**t].contains(id);
+            if TARGETS.iter().filter(has).count() >= self.acks {
+                self.acknowledged.insert(*id);
+            }
+        }
+    }
+
+    fn steps(&mut self, ms: u64) {
+        for _ in 0..ms / 20 {
+            let up = self.world.servers["t1"].up && !self.accused;
+            self.world.verdict = if up {
+                failover::Verdict::Healthy
+            } else {
+                FAILED
+            };
+            self.world.run(20);
+            // Each fence and each opening has to be heard of by the entries again.
+            if self.world.database().since() != self.since {
+                self.since = self.world.database().since();
+                let chosen = matches!(self.world.database().phase(), Phase::Chosen { .. });
+                self.world.fenced &= chosen;
+            }
+        }
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        if let Some((primary, _)) = self.world.primary() {
+            let log = &self.logs[primary];
+            let lost: Vec<_> = self
+                .acknowledged
+                .iter()
+                .filter(|id| !log.contains(id))
+                .collect();
+            prop_assert!(lost.is_empty(), "{primary} lacks {lost:?}");
+        }
+        for (term, targets) in &self.world.promotions {
+            prop_assert!(targets.len() == 1, "{targets:?} promoted for {term:?}");
+        }
+        Ok(())
+    }
+}
+
+fn config() -> Config {
+    Config {
+        cases: 1_000,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(20_240_918),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_acknowledged_write_is_lost(
+        acks in 1_u32..=2,
+        events in prop::collection::vec(event(), 1..150),
+    ) {
+        let mut model = Model::new(acks);
+        for event in events {
+            model.run(event);
+            model.check()?;
+        }
+    }
+}
