--- a/components/failover/tests/random.rs
+++ b/components/failover/tests/random.rs
@@ -68,6 +68,12 @@
     next: u32,
     acknowledged: BTreeSet<u32>,
     since: Revision,
+    /// The primary before a fence that some entry may not know of.
+    old: Option<&'static str>,
+}
+
+fn find(name: &str) -> Option<&'static str> {
+    TARGETS.into_iter().find(|target| *target == name)
 }
 
 impl Model {
@@ -80,16 +86,14 @@
             next: 0,
             acknowledged: BTreeSet::new(),
             since: world.database().since(),
+            old: None,
             world,
         }
     }
 
-    /// The primary that entries know, also while some of them have not heard of a fence.
+    /// Where writes go: to the old primary as long as an entry may not know of the fence.
     fn primary(&self) -> Option<&'static str> {
-        let database = self.world.database();
-        let known = *database.phase() == Phase::Steady || !self.world.fenced;
-        let name = database.primary().filter(|_| known)?;
-        TARGETS.into_iter().find(|target| name.as_str() == *target)
+        self.old.or_else(|| find(self.world.primary()?.0))
     }
 
     fn copy(&mut self, from: &'static str, to: &'static str) {
@@ -135,7 +139,7 @@
             (Event::Down(index), _) => self.world.server(TARGETS[index]).up = false,
             (Event::Up(index), _) => self.world.server(TARGETS[index]).up = true,
             (Event::Accuse(accused), _) => self.accused = accused,
-            (Event::Fenced, _) => self.world.fenced = true,
+            (Event::Fenced, _) => (self.world.fenced, self.old) = (true, None),
             (Event::Elect, _) => {
                 self.world.elect();
                 self.world.fenced = false;
@@ -165,11 +169,18 @@
                 FAILED
             };
             self.world.run(20);
-            // Each fence and each opening has to be heard of by the entries again.
-            if self.world.database().since() != self.since {
-                self.since = self.world.database().since();
-                let chosen = matches!(self.world.database().phase(), Phase::Chosen { .. });
-                self.world.fenced &= chosen;
+            let database = self.world.database();
+            if self.since != database.since() {
+                self.since = database.since();
+                // Each fence and each opening has to be heard of by the entries again.
+                match database.phase() {
+                    Phase::Fenced { .. } => {
+                        self.old = database.primary().and_then(|n| find(n.as_str()))
+                    }
+                    Phase::Chosen { .. } => continue,
+                    Phase::Steady => {}
+                }
+                self.world.fenced = false;
             }
         }
     }
