--- a/components/consensus/src/member.rs
+++ b/components/consensus/src/member.rs
@@ -28,6 +28,19 @@
     pub seat: Seat,
 }
 
+impl Member {
+    /// A member with the identity of an instance and its disk.
+    #[must_use]
+    pub fn new(who: Identity, address: SocketAddr, seat: Seat) -> Self {
+        Self {
+            instance: who.instance,
+            disk: who.disk,
+            address,
+            seat,
+        }
+    }
+}
+
 /// A change of one member.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -81,12 +94,7 @@
                 return Err(Refusal::Invalid);
             }
             list.retain(|member| member.instance != who.instance);
-            list.push(Member {
-                instance: who.instance.clone(),
-                disk: who.disk,
-                address: *address,
-                seat: Seat::Learner,
-            });
+            list.push(Member::new(who.clone(), *address, Seat::Learner));
         }
         Change::Promote(who) => {
             let member = list
--- a/components/consensus/src/store.rs
+++ b/components/consensus/src/store.rs
@@ -1,6 +1,6 @@
 //! Where writes go.
 
-use crate::Write;
+use crate::{Saved, Write};
 
 /// Carries out writes in the order of their sequence numbers.
 ///
@@ -16,3 +16,23 @@
     /// Makes all earlier writes durable.
     fn sync(&mut self) -> Result<(), Self::Error>;
 }
+
+impl Saved {
+    /// Applies a write: what a disk holds after it. A store in memory, and the model of one.
+    pub fn apply(&mut self, write: Write) {
+        match write {
+            Write::Append(entries) => self.entries.extend(entries),
+            Write::Truncate(from) => self.entries.retain(|entry| entry.position.index < from),
+            Write::Save { epoch, vote } => (self.epoch, self.vote) = (epoch, vote),
+            Write::Compact(snapshot) => {
+                let index = snapshot.position.index;
+                self.entries.retain(|entry| entry.position.index > index);
+                self.snapshot = snapshot;
+            }
+            Write::Install(snapshot) => {
+                self.entries.clear();
+                self.snapshot = snapshot;
+            }
+        }
+    }
+}
--- a/components/consensus/tests/network/mod.rs
+++ b/components/consensus/tests/network/mod.rs
@@ -3,12 +3,11 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::mem;
+use std::iter::repeat_n;
 use std::time::{Duration, Instant};
 
 use consensus::*;
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use types::Name;
 
 pub struct Host {
@@ -30,34 +29,17 @@
     pub cut: BTreeSet<Name>,
     /// Share of messages that are lost or doubled.
     pub loss: f64,
+    /// Longest delay of a message or a sync.
     pub delay_us: u64,
-    pub sync_us: u64,
     settings: Settings,
-    founders: Vec<Member>,
     pub committed: BTreeMap<u64, Entry>,
-    leaders: BTreeMap<Epoch, Identity>,
-    disks: u64,
+    leaders: BTreeMap<Epoch, Disk>,
 }
 
 pub fn name(text: &str) -> Name {
     Name::try_from(text).unwrap()
 }
 
-/// Carries out a write on what a disk holds.
-pub fn store(saved: &mut Saved, write: Write) {
-    match write {
-        Write::Append(entries) => saved.entries.extend(entries),
-        Write::Truncate(from) => saved.entries.retain(|e| e.position.index < from),
-        Write::Save { epoch, vote } => (saved.epoch, saved.vote) = (epoch, vote),
-        Write::Compact(new) => {
-            let index = new.position.index;
-            saved.entries.retain(|e| e.position.index > index);
-            saved.snapshot = new;
-        }
-        Write::Install(new) => (saved.snapshot, saved.entries) = (new, Vec::new()),
-    }
-}
-
 impl Net {
     /// A cluster of voters.
     pub fn new(seed: u64, names: &[&str], settings: Settings) -> Self {
@@ -69,31 +51,26 @@
             cut: BTreeSet::new(),
             loss: 0.0,
             delay_us: 2_000,
-            sync_us: 3_000,
             settings,
-            founders: Vec::new(),
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
-            disks: 0,
         };
-        net.founders = names.iter().map(|text| net.add(text)).collect();
-        names.iter().for_each(|text| net.restart(&name(text)));
+        let members: Vec<_> = names.iter().map(|text| net.add(text)).collect();
+        for text in names {
+            let start =
+                |node: &mut Node<_>, now, out: &mut _| node.on_bootstrap(now, &members, out);
+            assert_eq!(net.act(&name(text), start), Ok(()));
+        }
+        net.run(10);
         net
     }
 
     /// Adds a blank instance, or empties the disk of one that exists.
     pub fn add(&mut self, text: &str) -> Member {
-        self.disks += 1;
-        let (instance, disk) = (name(text), Disk(self.disks));
-        self.boot(Identity { instance, disk }, Saved::default());
-        let (instance, address) = (name(text), ([127, 0, 0, 1], 7000).into());
-        let seat = Seat::Voter;
-        Member {
-            instance,
-            disk,
-            address,
-            seat,
-        }
+        let (instance, disk) = (name(text), Disk(self.rng.random()));
+        let me = Identity { instance, disk };
+        self.boot(me.clone(), Saved::default());
+        Member::new(me, ([127, 0, 0, 1], 7000).into(), Seat::Voter)
     }
 
     fn boot(&mut self, me: Identity, saved: Saved) {
@@ -107,12 +84,7 @@
             sync_at: None,
             seen: Vec::new(),
         };
-        self.hosts.insert(me.instance.clone(), host);
-        let founders = self.founders.clone();
-        // Refused unless the instance is blank and a founder.
-        let _ = self.act(&me.instance, |node, now, out| {
-            node.on_bootstrap(now, &founders, out)
-        });
+        self.hosts.insert(me.instance, host);
     }
 
     /// Stops an instance and starts it again; a random end of the unsynced writes is lost.
@@ -123,7 +95,7 @@
             // Saving the vote is durable at once and may overtake appends.
             let overtakes = matches!(write, Write::Save { .. }) && self.rng.random_bool(0.5);
             if place < kept || overtakes {
-                store(&mut host.saved, write);
+                host.saved.apply(write);
             }
         }
         self.boot(host.node.identity().clone(), host.saved);
@@ -136,24 +108,30 @@
         call: impl FnOnce(&mut Node<StdRng>, Instant, &mut Vec<Action>) -> T,
     ) -> T {
         let mut out = Vec::new();
-        let result = call(
-            &mut self.hosts.get_mut(who).unwrap().node,
-            self.now,
-            &mut out,
-        );
+        let node = &mut self.hosts.get_mut(who).unwrap().node;
+        let result = call(node, self.now, &mut out);
+        if node.role() == Role::Leader {
+            let disk = node.identity().disk;
+            let first = self.leaders.entry(node.epoch()).or_insert(disk);
+            assert_eq!(*first, disk, "two leaders of one epoch");
+        }
         out.into_iter()
             .for_each(|action| self.carry_out(who, action));
         result
     }
 
     fn carry_out(&mut self, who: &Name, action: Action) {
+        let at = self.now + Duration::from_micros(self.rng.random_range(0..=self.delay_us));
+        let odd = self.rng.random_bool(self.loss);
         let host = self.hosts.get_mut(who).unwrap();
         match action {
-            Action::Send(to, peer) => self.post(who, &to, &peer),
+            Action::Send(to, peer) => {
+                let copies = if odd { self.rng.random_range(0..=2) } else { 1 };
+                self.queue.extend(repeat_n((at, to, peer), copies));
+            }
             Action::Write(seq, write) => {
                 host.pending.push((seq, write));
-                let delay = Duration::from_micros(self.rng.random_range(0..=self.sync_us));
-                host.sync_at.get_or_insert(self.now + delay);
+                host.sync_at.get_or_insert(at);
             }
             Action::Apply(entry) => {
                 host.applied += 1;
@@ -168,54 +146,27 @@
                 host.applied = host.node.snapshot().position.index;
                 host.state.clone_from(&host.node.snapshot().data);
             }
-            other => {
-                if let Action::Role {
-                    role: Role::Leader,
-                    epoch,
-                    ..
-                } = other
-                {
-                    let me = host.node.identity();
-                    let first = self.leaders.entry(epoch).or_insert(me.clone());
-                    assert_eq!(first, me, "two leaders of one epoch");
-                }
-                host.seen.push(other);
-            }
-        }
-    }
-
-    fn post(&mut self, from: &Name, to: &Name, peer: &Peer) {
-        for loss in [self.loss, 1.0 - self.loss] {
-            let lost = self.rng.random_bool(loss);
-            if !lost && !self.cut.contains(from) && !self.cut.contains(to) {
-                let delay = Duration::from_micros(self.rng.random_range(0..=self.delay_us));
-                self.queue
-                    .push((self.now + delay, to.clone(), peer.clone()));
-            }
+            other => host.seen.push(other),
         }
     }
 
     /// Runs all events of a span of time.
     pub fn run(&mut self, ms: u64) {
         let end = self.now + Duration::from_millis(ms);
-        while let Some(at) = self.next_event().filter(|at| *at <= end) {
-            self.now = self.now.max(at);
+        while self.now < end {
+            let due = |host: &Host| [host.node.deadline(), host.sync_at];
+            let hosts = self.hosts.values().flat_map(due).flatten();
+            let next = hosts.chain(self.queue.iter().map(|(at, ..)| *at)).min();
+            self.now = next.unwrap_or(end).clamp(self.now, end);
             self.step();
         }
-        self.now = end;
-    }
-
-    fn next_event(&self) -> Option<Instant> {
-        let due = |host: &Host| [host.node.deadline(), host.sync_at];
-        let hosts = self.hosts.values().flat_map(due).flatten();
-        hosts.chain(self.queue.iter().map(|(at, ..)| *at)).min()
     }
 
     fn step(&mut self) {
         let now = self.now;
         if let Some(place) = self.queue.iter().position(|(at, ..)| *at <= now) {
             let (_, to, peer) = self.queue.remove(place);
-            if !self.cut.contains(&to) {
+            if !self.cut.contains(&to) && !self.cut.contains(&peer.from.instance) {
                 self.act(&to, |node, now, out| node.on_message(now, peer, out));
             }
             return;
@@ -224,32 +175,26 @@
             let host = self.hosts.get_mut(&who).unwrap();
             if host.sync_at.take_if(|at| *at <= now).is_some() {
                 let last = host.pending.last().map_or(0, |(seq, _)| *seq);
-                let writes = mem::take(&mut host.pending).into_iter();
-                writes.for_each(|(_, write)| store(&mut host.saved, write));
+                for (_, write) in host.pending.drain(..) {
+                    host.saved.apply(write);
+                }
                 self.act(&who, |node, now, out| node.on_synced(now, last, out));
             }
             self.act(&who, |node, now, out| node.on_tick(now, out));
         }
     }
 
-    /// The leader of the latest epoch that is not cut off.
+    /// The leader of the latest epoch, which may be cut off.
     pub fn leader(&self) -> Option<Name> {
-        let leads = |(who, host): &(&Name, &Host)| {
-            host.node.role() == Role::Leader && !self.cut.contains(*who)
-        };
-        let latest = self
-            .hosts
-            .iter()
-            .filter(leads)
-            .max_by_key(|(_, host)| host.node.epoch());
-        latest.map(|(who, _)| who.clone())
+        let hosts = self.hosts.values();
+        let leading = hosts.filter(|host| host.node.role() == Role::Leader);
+        let latest = leading.max_by_key(|host| host.node.epoch())?;
+        Some(latest.node.identity().instance.clone())
     }
 
     pub fn propose(&mut self, data: &[u8]) -> bool {
-        let Some(who) = self.leader() else {
-            return false;
-        };
-        self.act(&who, |node, now, out| node.on_propose(now, data, out))
-            .is_ok()
+        let propose = |node: &mut Node<_>, now, out: &mut _| node.on_propose(now, data, out);
+        self.leader()
+            .is_some_and(|who| self.act(&who, propose).is_ok())
     }
 }
--- a/components/consensus/tests/safety.rs
+++ b/components/consensus/tests/safety.rs
@@ -102,7 +102,7 @@
     #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
 ) {
     let mut net = Net::new(seed, &NAMES[..size], settings());
-    (net.loss, net.delay_us, net.sync_us) = (0.05, 20_000, 15_000);
+    (net.loss, net.delay_us) = (0.05, 20_000);
     for step in 0..80 {
         disturb(&mut net);
         work(&mut net, step);
@@ -116,7 +116,7 @@
 #[rstest]
 fn repairs_lose_nothing(#[values(11, 12, 13, 14, 15, 16, 17, 18)] seed: u64) {
     let mut net = Net::new(seed, &NAMES[..3], settings());
-    (net.loss, net.delay_us, net.sync_us) = (0.03, 10_000, 10_000);
+    (net.loss, net.delay_us) = (0.03, 10_000);
     net.run(1_000);
     for step in 0..12 {
         let who = NAMES[net.rng.random_range(0..3)];
