--- a/components/disk/src/frame.rs
+++ b/components/disk/src/frame.rs
@@ -40,6 +40,11 @@
     Some(u32::from_le_bytes(raw.try_into().ok()?))
 }
 
+/// Whether the file was extended but not filled from the end of a part on.
+fn is_unwritten(from: &[u8]) -> bool {
+    from.iter().all(|byte| *byte == 0)
+}
+
 /// Reads the record at an offset; an error means that a complete record is damaged.
 pub(crate) fn read(bytes: &[u8], at: usize) -> Result<Read<'_>> {
     let rest = &bytes[at..];
@@ -50,23 +55,23 @@
     else {
         return Ok(Read::Torn);
     };
-    if rest.iter().all(|byte| *byte == 0) {
+    if crc32fast::hash(&length.to_le_bytes()) != check {
+        ensure!(
+            is_unwritten(&rest[HEADER - 1..]),
+            "bad record length at byte {at}"
+        );
         return Ok(Read::Torn);
     }
-    ensure!(
-        crc32fast::hash(&length.to_le_bytes()) == check,
-        "bad record length at byte {at}"
-    );
     let end = HEADER + usize::try_from(length)?;
     let Some(body) = rest.get(HEADER..end) else {
         return Ok(Read::Torn);
     };
     if crc32fast::hash(body) != sum {
-        // Only the last record can be extended but not filled.
-        if end == rest.len() && body.last() == Some(&0) {
-            return Ok(Read::Torn);
-        }
-        bail!("bad record checksum at byte {at}");
+        ensure!(
+            is_unwritten(&rest[end - 1..]),
+            "bad record checksum at byte {at}"
+        );
+        return Ok(Read::Torn);
     }
     let (_, record) = body.split_last().unwrap_or((&0, &[]));
     Ok(Read::Record(record, at + end))
--- a/components/disk/src/wal.rs
+++ b/components/disk/src/wal.rs
@@ -121,12 +121,6 @@
         self.guard("sync the log", Self::flush)
     }
 
-    /// Gives the file operations back, as after a stop of the process.
-    #[must_use]
-    pub fn into_files(self) -> F {
-        self.files
-    }
-
     /// Runs a step; its failure is final.
     fn guard(&mut self, what: &str, step: impl FnOnce(&mut Self) -> Result<()>) -> Result<()> {
         ensure!(!self.is_failed, "an earlier write to the disk failed");
