--- a/components/consensus/src/lib.rs
+++ b/components/consensus/src/lib.rs
@@ -11,6 +11,7 @@
 mod progress;
 mod settings;
 mod store;
+mod view;
 
 pub use action::{Action, Refusal, Role, Write};
 pub use member::{Change, Member, Seat};
--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -69,7 +69,7 @@
     held: Vec<(u64, Action)>,
     pub(crate) incoming: Option<Incoming>,
     announced: (Role, Epoch, Option<Name>),
-    failed: bool,
+    pub(crate) failed: bool,
 }
 
 impl<R: Rng> Node<R> {
@@ -231,70 +231,6 @@
         self.follow(now, self.epoch, None, out);
     }
 
-    /// Identity of this node.
-    #[must_use]
-    pub fn identity(&self) -> &Identity {
-        &self.me
-    }
-
-    /// Present role.
-    #[must_use]
-    pub fn role(&self) -> Role {
-        match self.state {
-            State::Follower => Role::Follower,
-            State::Probe(_) | State::Candidate(_) => Role::Candidate,
-            State::Leader(_) => Role::Leader,
-        }
-    }
-
-    /// Present epoch.
-    #[must_use]
-    pub fn epoch(&self) -> Epoch {
-        self.epoch
-    }
-
-    /// Leader, if it is known.
-    #[must_use]
-    pub fn leader(&self) -> Option<&Name> {
-        self.leader.as_ref()
-    }
-
-    /// Last committed index.
-    #[must_use]
-    pub fn commit(&self) -> u64 {
-        self.commit
-    }
-
-    /// End of the log.
-    #[must_use]
-    pub fn last(&self) -> Position {
-        self.log.last()
-    }
-
-    /// An entry that is still in memory.
-    #[must_use]
-    pub fn entry(&self, index: u64) -> Option<&Entry> {
-        self.log.get(index)
-    }
-
-    /// Members in force, which may not be committed yet.
-    #[must_use]
-    pub fn members(&self) -> &[Member] {
-        self.log.members()
-    }
-
-    /// Last snapshot; position 0 if there is none.
-    #[must_use]
-    pub fn snapshot(&self) -> &Snapshot {
-        &self.log.snapshot
-    }
-
-    /// Whether a write failed.
-    #[must_use]
-    pub fn is_failed(&self) -> bool {
-        self.failed
-    }
-
     pub(crate) fn postpone_election(&mut self, now: Instant) {
         let range = self.settings.election_min..=self.settings.election_max;
         self.election_at = now + self.rng.random_range(range);
--- a/components/disk/src/open.rs
+++ b/components/disk/src/open.rs
@@ -153,7 +153,7 @@
             self.size = found.length;
         }
         let last = replay.last();
-        let Some(entries) = replay.after(snapshot) else {
+        let Some(entries) = replay.after(snapshot)? else {
             self.last = snapshot.index;
             self.runs = vec![(snapshot.index, snapshot.epoch)];
             self.rotate(true)?;
--- a/components/disk/src/replay.rs
+++ b/components/disk/src/replay.rs
@@ -113,14 +113,18 @@
     ///
     /// That is the case after a stop between the saving of a snapshot from the leader and the
     /// start of a fresh segment.
-    pub(crate) fn after(self, snapshot: Position) -> Option<Vec<Entry>> {
+    pub(crate) fn after(self, snapshot: Position) -> Result<Option<Vec<Entry>>> {
         let base = self.base.unwrap_or_default();
-        let held = base == snapshot || self.entries.iter().any(|entry| entry.position == snapshot);
-        held.then(|| {
-            let entries = self.entries.into_iter();
-            entries
-                .filter(|entry| entry.position.index > snapshot.index)
-                .collect()
-        })
+        ensure!(
+            base.index <= snapshot.index,
+            "no snapshot of the entries up to {}",
+            base.index
+        );
+        let mut positions = self.entries.iter().map(|entry| entry.position);
+        if base != snapshot && !positions.any(|position| position == snapshot) {
+            return Ok(None);
+        }
+        let is_later = |entry: &Entry| entry.position.index > snapshot.index;
+        Ok(Some(self.entries.into_iter().filter(is_later).collect()))
     }
 }
