--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -98,11 +98,7 @@
     }
 
     fn is_quorum(&self, votes: &[Identity]) -> bool {
-        let is_for = |member: &member::Member| {
-            votes
-                .iter()
-                .any(|who| who.instance == member.instance && who.disk == member.disk)
-        };
+        let is_for = |member: &member::Member| votes.iter().any(|who| member.is(who));
         member::quorum(self.log.members(), is_for) == Some(true)
     }
 
--- a/components/consensus/src/member.rs
+++ b/components/consensus/src/member.rs
@@ -39,6 +39,18 @@
             seat,
         }
     }
+
+    /// Identity of the instance with its disk.
+    #[must_use]
+    pub fn identity(&self) -> Identity {
+        Identity::new(self.instance.clone(), self.disk)
+    }
+
+    /// Whether the member is this instance with this disk.
+    #[must_use]
+    pub fn is(&self, who: &Identity) -> bool {
+        self.instance == who.instance && self.disk == who.disk
+    }
 }
 
 /// A change of one member.
@@ -55,9 +67,7 @@
 /// The member with this identity.
 #[must_use]
 pub fn find<'a>(members: &'a [Member], who: &Identity) -> Option<&'a Member> {
-    members
-        .iter()
-        .find(|member| member.instance == who.instance && member.disk == who.disk)
+    members.iter().find(|member| member.is(who))
 }
 
 /// Whether this identity is a voter.
@@ -99,7 +109,7 @@
         Change::Promote(who) => {
             let member = list
                 .iter_mut()
-                .find(|member| member.instance == who.instance && member.disk == who.disk)
+                .find(|member| member.is(who))
                 .filter(|member| member.seat == Seat::Learner)
                 .ok_or(Refusal::Invalid)?;
             member.seat = Seat::Voter;
--- a/components/consensus/src/message.rs
+++ b/components/consensus/src/message.rs
@@ -21,6 +21,14 @@
     pub disk: Disk,
 }
 
+impl Identity {
+    /// The identity of an instance with this disk.
+    #[must_use]
+    pub fn new(instance: Name, disk: Disk) -> Self {
+        Self { instance, disk }
+    }
+}
+
 /// Place of an entry. Ordered as logs are compared in elections.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Position {
@@ -30,6 +38,14 @@
     pub index: u64,
 }
 
+impl Position {
+    /// The place of an entry of an epoch.
+    #[must_use]
+    pub fn new(epoch: Epoch, index: u64) -> Self {
+        Self { epoch, index }
+    }
+}
+
 /// What an entry carries.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Payload {
--- a/components/consensus/src/progress.rs
+++ b/components/consensus/src/progress.rs
@@ -150,7 +150,7 @@
         value: impl Fn(&Progress) -> T,
     ) -> Option<T> {
         let reached = member::quorum(members, |member| {
-            if member.instance == me.instance && member.disk == me.disk {
+            if member.is(me) {
                 return Some(own);
             }
             let peer = self.peers.get(&member.instance);
--- a/components/consensus/tests/cluster.rs
+++ b/components/consensus/tests/cluster.rs
@@ -3,7 +3,7 @@
 
 mod network;
 
-use consensus::{Action, Change, Identity, Refusal, Role, Saved, Seat, Settings};
+use consensus::{Action, Change, Identity, Refusal, Role, Saved, Seat, Settings, member};
 use network::{Net, name};
 use rstest::rstest;
 use types::Name;
@@ -32,19 +32,13 @@
 fn seat(net: &Net, who: &Identity) -> Option<Seat> {
     let leader = net.leader()?;
     let members = net.hosts[&leader].node.members();
-    members
-        .iter()
-        .find(|m| m.instance == who.instance && m.disk == who.disk)
-        .map(|m| m.seat)
+    member::find(members, who).map(|member| member.seat)
 }
 
 /// Empties the disk of an instance and starts it.
 fn empty(net: &mut Net, who: &Name) -> (Identity, Change) {
     let member = net.add(who.as_str());
-    let me = Identity {
-        instance: member.instance,
-        disk: member.disk,
-    };
+    let me = member.identity();
     (me.clone(), Change::Join(me, member.address))
 }
 
--- a/components/consensus/tests/node.rs
+++ b/components/consensus/tests/node.rs
@@ -14,10 +14,7 @@
 
 fn identity(disk: u64) -> Identity {
     let instance = Name::try_from(["a", "b", "c"][usize::try_from(disk).unwrap()]).unwrap();
-    Identity {
-        instance,
-        disk: Disk(disk),
-    }
+    Identity::new(instance, Disk(disk))
 }
 
 /// Node "a" of three, with the member list on its disk.
@@ -85,8 +82,7 @@
 }
 
 fn at(epoch: u64, index: u64) -> Position {
-    let epoch = Epoch(epoch);
-    Position { epoch, index }
+    Position::new(Epoch(epoch), index)
 }
 
 fn request() -> Body {
@@ -121,11 +117,7 @@
 
 /// The instance "b" with an emptied disk.
 fn emptied() -> Identity {
-    let disk = Disk(99);
-    Identity {
-        disk,
-        ..identity(1)
-    }
+    Identity::new(identity(1).instance, Disk(99))
 }
 
 #[test]
--- a/components/consensus/tests/safety.rs
+++ b/components/consensus/tests/safety.rs
@@ -4,7 +4,7 @@
 
 mod network;
 
-use consensus::{Change, Identity, Seat, Settings};
+use consensus::{Change, Seat, Settings, member};
 use network::{Net, name};
 use rand::RngExt;
 use rstest::rstest;
@@ -121,10 +121,7 @@
     for step in 0..12 {
         let who = NAMES[net.rng.random_range(0..3)];
         let member = net.add(who);
-        let me = Identity {
-            instance: name(who),
-            disk: member.disk,
-        };
+        let me = member.identity();
         let join = Change::Join(me.clone(), member.address);
         for _ in 0..60 {
             work(&mut net, step);
@@ -133,14 +130,8 @@
                 net.restart(&healthy);
             }
             let Some(leader) = net.leader() else { continue };
-            let listed = |m: &&consensus::Member| m.disk == me.disk;
-            match net.hosts[&leader]
-                .node
-                .members()
-                .iter()
-                .find(listed)
-                .map(|m| m.seat)
-            {
+            let members = net.hosts[&leader].node.members();
+            match member::find(members, &me).map(|member| member.seat) {
                 Some(Seat::Voter) => break,
                 seat => {
                     let promote = Change::Promote(me.clone());
@@ -151,12 +142,9 @@
         }
         // The change is in force only when committed; the next repair has to wait for it.
         net.run(3_000);
-        let is_voter = |m: &consensus::Member| m.disk == me.disk && m.seat == Seat::Voter;
         let leader = net.leader().expect("a leader after the repair");
-        assert!(
-            net.hosts[&leader].node.members().iter().any(is_voter),
-            "step {step}"
-        );
+        let members = net.hosts[&leader].node.members();
+        assert!(member::is_voter(members, &me), "step {step}");
         check_logs(&net);
     }
     settle(&mut net);
--- a/components/disk/src/open.rs
+++ b/components/disk/src/open.rs
@@ -200,10 +200,7 @@
     let head: Head<'_> = record::decode(head)?;
     ensure!(head.index == index, "holds the snapshot {}", head.index);
     Ok(Snapshot {
-        position: Position {
-            epoch: Epoch(head.epoch),
-            index,
-        },
+        position: Position::new(Epoch(head.epoch), index),
         members: record::members(head.members)?,
         data: data.to_vec(),
     })
--- a/components/disk/src/record.rs
+++ b/components/disk/src/record.rs
@@ -140,10 +140,7 @@
 
     fn try_from(raw: Entry<'_>) -> Result<Self> {
         Ok(Self {
-            position: Position {
-                epoch: Epoch(raw.epoch),
-                index: raw.index,
-            },
+            position: Position::new(Epoch(raw.epoch), raw.index),
             payload: match raw.payload {
                 Payload::Noop => consensus::Payload::Noop,
                 Payload::Data(data) => consensus::Payload::Data(data.to_vec()),
--- a/components/disk/src/replay.rs
+++ b/components/disk/src/replay.rs
@@ -60,10 +60,7 @@
             } => {
                 ensure!(start.is_none(), "second start of a segment");
                 *start = Some(index);
-                let position = Position {
-                    epoch: Epoch(epoch),
-                    index,
-                };
+                let position = Position::new(Epoch(epoch), index);
                 if fresh {
                     self.entries.clear();
                 }
--- a/components/disk/tests/control.rs
+++ b/components/disk/tests/control.rs
@@ -28,10 +28,7 @@
     fn start(files: &'a mut Faulty, rng: &mut StdRng) -> anyhow::Result<Self> {
         let (wal, opened) = Wal::open(files, Path::new("data"), rng)?;
         let instance = Name::try_from("catania-1")?;
-        let me = Identity {
-            instance,
-            disk: opened.disk,
-        };
+        let me = Identity::new(instance, opened.disk);
         let member = Member::new(me.clone(), "127.0.0.1:7000".parse()?, Seat::Voter);
         let data = opened.saved.snapshot.data.chunks(4).map(<[u8]>::to_vec);
         let applied = data.collect();
--- a/components/disk/tests/wal.rs
+++ b/components/disk/tests/wal.rs
@@ -23,10 +23,7 @@
 
 fn who() -> Identity {
     let instance = Name::try_from("enna-1").unwrap();
-    Identity {
-        instance,
-        disk: Disk(u64::MAX),
-    }
+    Identity::new(instance, Disk(u64::MAX))
 }
 
 fn members() -> Vec<Member> {
@@ -38,10 +35,7 @@
 }
 
 fn position(epoch: u64, index: u64) -> Position {
-    Position {
-        epoch: Epoch(epoch),
-        index,
-    }
+    Position::new(Epoch(epoch), index)
 }
 
 fn append(epoch: u64, indexes: std::ops::RangeInclusive<u64>) -> Write {
