--- a/components/disk/src/replay.rs
+++ b/components/disk/src/replay.rs
@@ -60,10 +60,7 @@
             } => {
                 ensure!(start.is_none(), "second start of a segment");
                 *start = Some(index);
-                let position = Position {
-                    epoch: Epoch(epoch),
-                    index,
-                };
+                let position = Position::new(Epoch(epoch), index);
                 if fresh {
                     self.entries.clear();
                 }
@@ -111,8 +108,8 @@
 
     /// The entries after a snapshot; none if the log does not contain the snapshot's position.
     ///
-    /// That is the case after a stop between the saving of a snapshot from the leader and the
-    /// start of a fresh segment.
+    /// That is the case after a stop between the saving of a snapshot and the start of the next
+    /// segment: the snapshot is the leader's, or the entries up to it were not synced.
     pub(crate) fn after(self, snapshot: Position) -> Result<Option<Vec<Entry>>> {
         let base = self.base.unwrap_or_default();
         ensure!(
