Take a reserved word behind a schema for a function

SELECT farm.values(1) was a read: a keyword before a parenthesis counted as syntax even behind a schema, where it names a function. It is a write now. Column lists of later CTEs no longer make a write of a read.

Queue::drain empties the queue of a target that takes no new work.

--- a/components/pool/src/queue.rs
+++ b/components/pool/src/queue.rs
@@ -74,6 +74,8 @@
     }
 }
 
+impl std::error::Error for Refusal {}
+
 /// Outcome for a waiting statement.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Event {
@@ -233,6 +235,17 @@
             .any(|line| line.remove(ticket).is_some())
     }
 
+    /// Empties the queue, in the order of arrival: the target takes no new work, and each statement
+    /// needs another target or a refusal.
+    pub fn drain(&mut self, tickets: &mut Vec<Ticket>) {
+        let start = tickets.len();
+        for line in self.lines.iter_mut().flatten() {
+            tickets.extend(std::iter::from_fn(|| line.pop()).map(|waiting| waiting.ticket));
+        }
+        tickets[start..].sort_unstable();
+        self.earliest = None;
+    }
+
     /// When [`Self::schedule`] is due even if nothing else happens.
     #[must_use]
     pub fn deadline(&self) -> Option<Instant> {
--- a/components/route/src/choice.rs
+++ b/components/route/src/choice.rs
@@ -72,6 +72,8 @@
     }
 }
 
+impl std::error::Error for Reason {}
+
 /// Where a statement goes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice {
--- a/components/route/tests/choice.rs
+++ b/components/route/tests/choice.rs
@@ -215,6 +215,10 @@
     let (until, watch) = (hold, None);
     let wait = Wait { until, watch };
     assert_eq!(bench.choose(), wait);
+    let until = bench.now + ms(10);
+    bench.request.deadline = until;
+    assert_eq!(bench.choose(), Wait { until, watch });
+    bench.request.deadline = hold;
     bench.request.kind = Kind::Read;
     assert_eq!(bench.choose(), Target(NEAR), "reads go on");
     bench.request.needs = Needs::PrimaryOnly;
@@ -269,6 +273,7 @@
             ..model
         });
     }
+    bench.at(PRIMARY).role = Role::Replica; // Its announcement is older than its promotion.
     let mut chosen = [0_u32; 16];
     for _ in 0..1_000 {
         if let Target(target) = bench.choose() {
--- a/components/sql/src/scan.rs
+++ b/components/sql/src/scan.rs
@@ -120,7 +120,7 @@
         let Some(word) = self.word(at) else {
             return true;
         };
-        if self.names_no_function(at, word) {
+        if self.names_no_function(at) {
             return true;
         }
         let qualified = matches!(self.before(at), Some(Token::Period));
@@ -131,21 +131,22 @@
     }
 
     /// Keywords, types after `::`, and the column lists of aliases and of the first CTE.
-    fn names_no_function(self, at: usize, word: &Word) -> bool {
-        if matches!(self.before(at), Some(Token::DoubleColon)) {
-            return true;
+    fn names_no_function(self, at: usize) -> bool {
+        match self.before(at) {
+            Some(Token::DoubleColon) => return true,
+            // Behind a schema even a reserved word names a function.
+            Some(Token::Period) => return false,
+            _ => {}
         }
         let previous = at.checked_sub(1);
         let after = |words: &[&str]| previous.is_some_and(|at| self.is_any(at, words));
-        if after(&["as", "with", "recursive"]) && !matches!(self.before(at), Some(Token::Period)) {
+        if after(&["as", "with", "recursive"]) {
             return true;
         }
-        if word.quote_style.is_some() {
-            return false;
-        }
         self.is_any(at, BEFORE_PARENTHESIS)
             || self.clause_of_call(at)
             || self.joins_query(at)
+            || self.names_query(at)
             || AFTER
                 .iter()
                 .any(|(keyword, words)| self.is(at, keyword) && after(words))
@@ -156,6 +157,39 @@
         self.is(at, "join") && self.is_any(at + 2, &["select", "values", "with"])
     }
 
+    /// `name (column, ...) AS (SELECT` of a CTE. `SELECT` is reserved, so that the second list is
+    /// not that of the column definitions which may follow a call.
+    fn names_query(self, at: usize) -> bool {
+        let Some(close) = self.close(at + 1) else {
+            return false;
+        };
+        let (mut open, list) = (close + 2, at + 2..close);
+        while self.is_any(open, &["not", "materialized"]) {
+            open += 1;
+        }
+        let plain = |at: usize| matches!(self.0[at], Token::Word(_) | Token::Comma);
+        self.is(close + 1, "as")
+            && self.opens(open)
+            && self.is_any(open + 1, &["select", "values", "with"])
+            && list.into_iter().all(plain)
+    }
+
+    /// The parenthesis that closes the one at `open`.
+    fn close(self, open: usize) -> Option<usize> {
+        let mut depth = 0_usize;
+        for at in open..self.0.len() {
+            match self.0[at] {
+                Token::LParen => depth += 1,
+                Token::RParen => depth -= 1,
+                _ => {}
+            }
+            if depth == 0 {
+                return Some(at);
+            }
+        }
+        None
+    }
+
     /// `OVER (` and `FILTER (` are syntax only directly after a closed call.
     fn clause_of_call(self, at: usize) -> bool {
         self.is_any(at, &["over", "filter"]) && matches!(self.before(at), Some(Token::RParen))
@@ -180,17 +214,8 @@
 
     /// The call whose parenthesis opens at `open` ends in the literal `true`.
     fn last_argument_true(self, open: usize) -> bool {
-        let mut depth = 0_usize;
-        for at in open..self.0.len() {
-            match self.0[at] {
-                Token::LParen => depth += 1,
-                Token::RParen => depth -= 1,
-                _ => {}
-            }
-            if depth == 0 {
-                return self.is(at - 1, "true") && matches!(self.0[at - 2], Token::Comma);
-            }
-        }
-        false
+        self.close(open).is_some_and(|close| {
+            self.is(close - 1, "true") && matches!(self.0[close - 2], Token::Comma)
+        })
     }
 }
--- a/components/sql/tests/classify.rs
+++ b/components/sql/tests/classify.rs
@@ -22,6 +22,9 @@
 #[case::values("VALUES (1), (2)")]
 #[case::parentheses("(SELECT 1) UNION ALL (SELECT 2)")]
 #[case::cte("WITH a (x) AS (SELECT id FROM boxes) SELECT count(*) FROM a")]
+#[case::later_cte(
+    "WITH a AS (SELECT 1), b (x, y) AS NOT MATERIALIZED (SELECT 1, 2) SELECT x FROM b"
+)]
 #[case::join("SELECT * FROM a JOIN (SELECT 1 AS id) b USING (id) WHERE a.k IN (1, 2)")]
 #[case::window("SELECT rank() OVER (PARTITION BY a ORDER BY (b)) FROM t")]
 #[case::filter("SELECT count(*) FILTER (WHERE a) FROM t GROUP BY GROUPING SETS ((a), (b))")]
@@ -57,6 +60,10 @@
 #[case::foreign_schema("SELECT farm.count(1)")]
 #[case::foreign_catalog("SELECT x.pg_catalog.count(1)")]
 #[case::function_named_filter("SELECT filter(1)")]
+#[case::foreign_keyword("SELECT farm.values(1)")]
+#[case::function_named_cube("SELECT cube(1)")]
+#[case::function_named_keyword(r#"SELECT "in"(1)"#)]
+#[case::function_with_columns("SELECT * FROM a, book_order(x) AS (y int)")]
 #[case::function_named_join("SELECT join(1)")]
 #[case::transaction_lock("SELECT pg_advisory_xact_lock(1)")]
 #[case::terminate("SELECT pg_terminate_backend(1)")]
