--- a/components/standin/src/control.rs
+++ b/components/standin/src/control.rs
@@ -7,6 +7,7 @@
 use crate::reply;
 use crate::server::Server;
 use crate::settings;
+use crate::standby::TERMINATED;
 use crate::statement::{Done, Halt, begin};
 use crate::value::{Type, Value};
 use crate::wal::Message;
@@ -202,13 +203,18 @@
             self.report_changes(id, &before);
         }
         if own.has_changes() {
+            if self.standby.recovery {
+                // The server was demoted while the transaction was open.
+                self.refuse(id, "57P01", TERMINATED);
+                return false;
+            }
             if Faults::strike(&mut self.faults.close_before_commit) {
-                self.remove(id);
+                self.close_silently(id);
                 return false;
             }
             self.publish(own);
             if Faults::strike(&mut self.faults.close_before_commit_reply) {
-                self.remove(id);
+                self.close_silently(id);
                 return false;
             }
         }
@@ -216,6 +222,14 @@
         true
     }
 
+    /// Ends a session without its pending reply.
+    fn close_silently(&mut self, id: u64) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.reply.clear();
+        }
+        self.remove(id);
+    }
+
     /// Makes a transaction's changes visible and sends them to the replicas.
     fn publish(&mut self, own: crate::store::Transaction) {
         let record = self.wal.record(own.into_changes());
--- a/components/standin/src/parse.rs
+++ b/components/standin/src/parse.rs
@@ -234,7 +234,8 @@
     }
     select.aggregate = aggregate;
     select.sleep = sleep;
-    select.control = control && !matches!(select.source, Source::Table(_));
+    let table = matches!(select.source, Source::Table(_));
+    select.control = control && !table && select.sleep.is_none();
 }
 
 fn insert(insert: ast::Insert) -> Outcome<Insert> {
--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -33,10 +33,10 @@
     Open(u64),
     /// Held replies of a session are due.
     Release(u64),
-    /// A replica connects to its primary.
-    Connect,
     /// The next log record is due for replay.
     Replay,
+    /// A replica connects to its primary.
+    Connect,
     Announce,
 }
 
@@ -227,7 +227,7 @@
                         session.release(self.now);
                     }
                 }
-                Timer::Connect => self.connect(),
+                Timer::Connect => self.connect_again(),
                 Timer::Replay => self.replay(),
                 Timer::Announce => self.announce(),
             }
@@ -244,9 +244,11 @@
     /// Ends a session: rolls back and frees what it holds. Its socket closes once everything that
     /// was sent has been written.
     pub(crate) fn remove(&mut self, id: u64) {
-        let Some(session) = self.sessions.remove(&id) else {
+        let Some(mut session) = self.sessions.remove(&id) else {
             return;
         };
+        session.flush(None);
+        session.release_all();
         if matches!(session.phase, Phase::Opening | Phase::Open) {
             self.connections -= 1;
         }
--- a/components/standin/src/session.rs
+++ b/components/standin/src/session.rs
@@ -167,6 +167,13 @@
         }
     }
 
+    /// Sends all held replies.
+    pub(crate) fn release_all(&mut self) {
+        while let Some((_, bytes)) = self.held.pop_front() {
+            self.send(bytes);
+        }
+    }
+
     pub(crate) fn holds(&self) -> bool {
         !self.held.is_empty()
     }
--- a/components/standin/src/slots.rs
+++ b/components/standin/src/slots.rs
@@ -30,7 +30,7 @@
     }
 
     pub(crate) fn request(&mut self, now: Instant, session: u64, service: Duration) {
-        if self.running.len() < self.size {
+        if self.free() {
             self.running.insert((now + service, session));
         } else {
             self.queue.push_back(Waiting {
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Whether a statement that takes no time could run now.
+    pub(crate) fn free(&self) -> bool {
+        self.running.len() < self.size
+    }
+
     pub(crate) fn deadline(&self) -> Option<Instant> {
         self.running.first().map(|(due, _)| *due)
     }
--- a/components/standin/src/standby.rs
+++ b/components/standin/src/standby.rs
@@ -15,6 +15,9 @@
 use crate::upstream::{self, POSITION, Position, TIMELINE};
 use crate::wal::{self, Ended, Message, Record};
 
+/// Text of the error that ends sessions when the role changes.
+pub(crate) const TERMINATED: &str = "terminating connection due to administrator command";
+
 /// Pause before a replica connects again.
 const RECONNECT: Duration = Duration::from_millis(100);
 
@@ -58,10 +61,9 @@
         }
     }
 
-    /// Drops the connection and what it has delivered but was not replayed.
+    /// Drops the connection; what it has delivered is still replayed.
     fn disconnect(&mut self) {
         self.connection += 1;
-        self.queue.clear();
         self.source = None;
         if let Some(task) = self.task.take() {
             task.abort();
@@ -76,17 +78,35 @@
 }
 
 impl Server {
+    /// Connects again after a pause, unless a connection has been made meanwhile.
+    pub(crate) fn connect_again(&mut self) {
+        if self.standby.task.is_none() {
+            self.connect();
+        }
+    }
+
     /// Connects to the primary, if this is a replica that has one.
     pub(crate) fn connect(&mut self) {
         self.standby.disconnect();
         let Some(primary) = self.standby.primary.filter(|_| self.standby.recovery) else {
             return;
         };
-        let at = Position {
-            timeline: self.wal.timeline,
-            end: if self.standby.seeded { self.wal.end } else { 0 },
+        let at = match self.standby.queue.back() {
+            Some((_, last)) => Position {
+                timeline: last.timeline,
+                end: last.end,
+            },
+            None if self.standby.seeded => Position {
+                timeline: self.wal.timeline,
+                end: self.wal.end,
+            },
+            // No log reaches back to there, so that the primary sends a copy.
+            None => Position {
+                timeline: 0,
+                end: 0,
+            },
         };
-        self.standby.received = Some(self.wal.end);
+        self.standby.received = self.standby.seeded.then_some(at.end);
         let events = self.events.clone();
         let connection = self.standby.connection;
         let task = tokio::spawn(upstream::run(primary, connection, at, events));
@@ -101,12 +121,7 @@
 
     pub(crate) fn on_lost(&mut self, connection: u64) {
         if connection == self.standby.connection && self.standby.recovery {
-            // Records that have arrived are still replayed; a new connection starts after them.
-            self.standby.task = None;
-            let due = self.now + RECONNECT;
-            let last = self.standby.queue.back().map(|(due, _)| *due);
-            self.timers
-                .insert((last.map_or(due, |last| last.max(due)), Timer::Connect));
+            self.reconnect_later();
         }
     }
 
@@ -115,11 +130,10 @@
             return;
         }
         let target = &self.config.target;
+        let last = self.standby.queue.back();
+        let own = last.map_or(self.wal.timeline, |(_, record)| record.timeline);
         match message {
-            Message::Copy { timeline, .. } | Message::Resume { timeline, .. }
-                if timeline < self.wal.timeline =>
-            {
-                let own = self.wal.timeline;
+            Message::Copy { timeline, .. } | Message::Resume { timeline, .. } if timeline < own => {
                 tracing::warn!(%target, timeline, own, "primary is on an older timeline");
                 self.reconnect_later();
             }
@@ -131,6 +145,7 @@
             } => {
                 tracing::info!(%target, timeline, end, "rebuilt from a copy of the primary");
                 self.store = store;
+                self.standby.queue.clear();
                 self.standby.seeded = true;
                 self.wal.restart(timeline, end, history.clone());
                 self.standby.received = Some(end);
@@ -163,7 +178,8 @@
                 return;
             };
             if record.start != self.wal.end {
-                // A gap: the copy or the resumed log starts elsewhere than this server stands.
+                // A gap: this log does not continue what the server has.
+                self.standby.queue.clear();
                 return self.reconnect_later();
             }
             for change in &record.changes {
@@ -180,6 +196,7 @@
     /// replayed is lost, as with a real server whose lag is on the way to it.
     pub(crate) fn promote(&mut self) {
         self.standby.disconnect();
+        self.standby.queue.clear();
         self.standby.recovery = false;
         self.standby.primary = None;
         self.standby.pending = None;
@@ -245,8 +262,7 @@
             .filter(|other| *other != id)
             .collect();
         for other in others {
-            let text = "terminating connection due to administrator command";
-            self.refuse(other, "57P01", text);
+            self.refuse(other, "57P01", TERMINATED);
         }
         let target = &self.config.target;
         tracing::info!(%target, "demoted");
--- a/components/standin/src/startup.rs
+++ b/components/standin/src/startup.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use pgwire::messages::cancel::CancelRequest;
-use pgwire::messages::startup::{SecretKey, Startup};
+use pgwire::messages::startup::{NegotiateProtocolVersion, SecretKey, Startup};
 use pgwire::messages::{PgWireFrontendMessage, SslNegotiationMetaMessage};
 
 use crate::failure::Failure;
@@ -35,6 +35,14 @@
     }
 
     fn start(&mut self, id: u64, startup: Startup) {
+        if startup.protocol_number_minor > 0
+            && let Some(session) = self.sessions.get_mut(&id)
+        {
+            let names = startup.parameters.keys();
+            let unknown = names.filter(|name| name.starts_with("_pq_.")).cloned();
+            let answer = NegotiateProtocolVersion::new(0, unknown.collect());
+            reply::put(&mut session.reply, &answer);
+        }
         if startup.parameters.contains_key("replication") {
             return self.start_replica(id, &startup);
         }
--- a/components/standin/src/statement.rs
+++ b/components/standin/src/statement.rs
@@ -92,13 +92,15 @@
         let Some((plan, params)) = current(&mut self.cache, session)? else {
             return Ok(true);
         };
-        let mut service = match plan {
-            Plan::Select(select) if select.control => Duration::ZERO,
-            Plan::Select(_) | Plan::Insert(_) | Plan::Update(_) | Plan::Delete(_) => {
-                self.config.statement
-            }
-            _ => Duration::ZERO,
+        let charged = match plan {
+            Plan::Select(select) => !select.control,
+            Plan::Insert(_) | Plan::Update(_) | Plan::Delete(_) => true,
+            _ => false,
         };
+        if !charged {
+            return Ok(true);
+        }
+        let mut service = self.config.statement;
         if let Plan::Select(select) = plan
             && let Some(sleep) = &select.sleep
         {
@@ -113,7 +115,7 @@
                 service += Duration::from_secs_f64(seconds.clamp(0.0, MAX_SLEEP));
             }
         }
-        if service == Duration::ZERO {
+        if service == Duration::ZERO && self.slots.free() {
             return Ok(true);
         }
         if let Some(job) = &mut session.job {
--- a/components/standin/tests/queries.rs
+++ b/components/standin/tests/queries.rs
@@ -231,11 +231,15 @@
     let address = start(config()).await;
     let (client, other) = (connect(address).await, connect(address).await);
     let token = client.cancel_token();
-    let (slept, ()) = tokio::join!(client.batch_execute("SELECT pg_sleep(600)"), async {
-        // The statement has arrived once another connection's later one is answered.
-        other.batch_execute("SELECT 1").await.unwrap();
-        token.cancel_query(NoTls).await.unwrap();
-    });
+    let mut sleep = std::pin::pin!(client.batch_execute("SELECT pg_sleep(600)"));
+    // A cancel that overtakes the statement has no effect, so that it is repeated.
+    let slept = loop {
+        tokio::select! {
+            biased;
+            slept = &mut sleep => break slept,
+            _ = one(&other, "SELECT 1") => token.cancel_query(NoTls).await.unwrap(),
+        }
+    };
     assert_eq!(slept.unwrap_err().code().unwrap().code(), "57014");
     token.cancel_query(NoTls).await.unwrap();
     assert_eq!(one(&client, "SELECT 1").await, "1");
--- a/components/standin/tests/support/mod.rs
+++ b/components/standin/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use types::Name;
 
 /// Bound on every wait for a condition; a passing test never gets near it.
-const PATIENCE: Duration = Duration::from_secs(20);
+pub const PATIENCE: Duration = Duration::from_secs(20);
 
 pub fn config() -> Config {
     let name = |raw| Name::try_from(raw).unwrap();
