Keep the stand-in up when accepting a connection fails

An error of the listener, or a client that resets while its options are set, ended the whole process. Accepting now pauses for 100 ms and goes on.

--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -60,13 +60,10 @@
     }
 
     /// Serves until `stop` is done.
-    ///
-    /// # Errors
-    /// When the listener fails.
-    pub async fn run(self, stop: impl Future<Output = ()>) -> Result<()> {
+    pub async fn run(self, stop: impl Future<Output = ()>) {
         let (sender, events) = mpsc::unbounded_channel();
         let server = server::Server::new(self.config, self.address, Instant::now(), sender);
-        server.run(self.listener, events, stop).await
+        server.run(self.listener, events, stop).await;
     }
 }
 
@@ -90,7 +87,8 @@
 /// Binds and serves until `stop` is done.
 ///
 /// # Errors
-/// As [`bind`] and [`Bound::run`].
+/// As [`bind`].
 pub async fn run(config: Config, stop: impl Future<Output = ()>) -> Result<()> {
-    bind(config).await?.run(stop).await
+    bind(config).await?.run(stop).await;
+    Ok(())
 }
--- a/components/standin/src/reply.rs
+++ b/components/standin/src/reply.rs
@@ -11,8 +11,7 @@
 
 use crate::describe::Field;
 use crate::failure::Failure;
-use crate::store::Row;
-use crate::value::Type;
+use crate::value::{Type, Value};
 
 /// Appends a message.
 pub(crate) fn put(out: &mut BytesMut, message: &impl Message) {
@@ -97,7 +96,7 @@
 }
 
 /// Appends a DataRow; its length is filled in after the values.
-pub(crate) fn row(out: &mut BytesMut, row: &Row, fields: &[Field], formats: &[i16]) {
+pub(crate) fn row(out: &mut BytesMut, row: &[Value], fields: &[Field], formats: &[i16]) {
     out.put_u8(b'D');
     let start = out.len();
     out.put_i32(0);
--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anyhow::{Context, Result};
 use bytes::Bytes;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, UnboundedReceiver};
@@ -26,6 +25,9 @@
 /// Events that one turn of the loop takes at most, so that timers and new connections get theirs.
 const BATCH: usize = 256;
 
+/// Pause after an error of the listener.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// What a stored deadline is for.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Timer {
@@ -38,6 +40,8 @@
     /// A replica connects to its primary.
     Connect,
     Announce,
+    /// The listener is tried again.
+    Accept,
 }
 
 /// All state of a stand-in target.
@@ -57,6 +61,7 @@
     pub(crate) replicas: Vec<u64>,
     /// Sessions that count against the connection limit.
     pub(crate) connections: u32,
+    accepting: bool,
     next: u64,
     pub(crate) cache: Cache,
     pub(crate) slots: Slots,
@@ -79,6 +84,7 @@
             sessions: HashMap::new(),
             replicas: Vec::new(),
             connections: 0,
+            accepting: true,
             next: 1,
             cache: Cache::default(),
             slots: Slots::new(config.slots as usize),
@@ -97,7 +103,7 @@
         listener: TcpListener,
         mut events: UnboundedReceiver<Event>,
         stop: impl Future<Output = ()>,
-    ) -> Result<()> {
+    ) {
         let mut stop = std::pin::pin!(stop);
         let mut batch = Vec::with_capacity(BATCH);
         self.begin();
@@ -110,11 +116,13 @@
                 }
             };
             tokio::select! {
-                () = &mut stop => return Ok(()),
-                accepted = listener.accept() => {
+                () = &mut stop => return,
+                accepted = listener.accept(), if self.accepting => {
                     self.now = Instant::now();
-                    let (stream, _) = accepted.context("accept")?;
-                    self.accept(stream)?;
+                    match accepted {
+                        Ok((stream, _)) => self.accept(stream),
+                        Err(error) => self.pause_accepting(&error),
+                    }
                 }
                 _ = events.recv_many(&mut batch, BATCH) => {
                     self.now = Instant::now();
@@ -130,7 +138,7 @@
             self.settle();
             if let Some(until) = self.faults.frozen.take() {
                 tokio::select! {
-                    () = &mut stop => return Ok(()),
+                    () = &mut stop => return,
                     () = tokio::time::sleep_until(until) => {}
                 }
             }
@@ -156,19 +164,27 @@
         [timer, self.slots.deadline()].into_iter().flatten().min()
     }
 
-    fn accept(&mut self, stream: TcpStream) -> Result<()> {
-        if self.faults.refusing.is_some_and(|until| self.now < until) {
-            return Ok(());
+    /// Stops accepting for a moment: an error such as a lack of file descriptors would come back at
+    /// once.
+    fn pause_accepting(&mut self, error: &std::io::Error) {
+        tracing::warn!(target = %self.config.target, %error, "accepting paused");
+        self.accepting = false;
+        self.timers.insert((self.now + ACCEPT_PAUSE, Timer::Accept));
+    }
+
+    fn accept(&mut self, stream: TcpStream) {
+        let refusing = self.faults.refusing.is_some_and(|until| self.now < until);
+        // Small answers must not wait for acknowledgements. Setting that fails when the client has
+        // gone already.
+        if refusing || stream.set_nodelay(true).is_err() {
+            return;
         }
-        // Small answers must not wait for acknowledgements.
-        stream.set_nodelay(true).context("set TCP_NODELAY")?;
         let id = self.next;
         self.next += 1;
         let (output, commands) = mpsc::unbounded_channel::<Bytes>();
         let (pid, secret) = self.key(id);
         self.sessions.insert(id, Session::new(pid, secret, output));
         tokio::spawn(socket::run(stream, id, self.events.clone(), commands));
-        Ok(())
     }
 
     /// Key of a session for cancel requests. The port is part of it, so that a key never fits a
@@ -230,6 +246,7 @@
                 Timer::Connect => self.connect_again(),
                 Timer::Replay => self.replay(),
                 Timer::Announce => self.announce(),
+                Timer::Accept => self.accepting = true,
             }
         }
     }
--- a/components/standin/src/store.rs
+++ b/components/standin/src/store.rs
@@ -214,7 +214,7 @@
         self.own.and_then(|own| own.overlay.rows.get(table))
     }
 
-    pub(crate) fn get(&self, table: &str, key: &Key) -> Option<(&'a Key, &'a Row)> {
+    pub(crate) fn get(&self, table: &str, key: &[Value]) -> Option<(&'a Key, &'a Row)> {
         if let Some((key, row)) = self.own(table).and_then(|own| own.get_key_value(key)) {
             return row.as_ref().map(|row| (key, row));
         }
@@ -223,7 +223,7 @@
 
     pub(crate) fn scan(&self, table: &str) -> impl Iterator<Item = (&'a Key, &'a Row)> + use<'a> {
         let own = self.own(table);
-        let hidden = move |key: &Key| own.is_some_and(|own| own.contains_key(key));
+        let hidden = move |key: &[Value]| own.is_some_and(|own| own.contains_key(key));
         let committed = self.committed(table).into_iter().flatten();
         let changed = own.into_iter().flatten();
         committed
--- a/components/standin/tests/queries.rs
+++ b/components/standin/tests/queries.rs
@@ -4,6 +4,7 @@
 
 use rstest::rstest;
 use support::{code, config, connect, one, rows, start, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio_postgres::NoTls;
 
 /// Guards against a subset of SQL that parses but computes something else than PostgreSQL.
@@ -286,3 +287,49 @@
     client.batch_execute("DISCARD ALL").await.unwrap();
     assert_eq!(code(&client, "SHOW c.d").await, "42704");
 }
+
+/// Guards against statements without tables that fail when they are prepared.
+#[tokio::test]
+async fn prepared_control() {
+    let client = connect(start(config()).await).await;
+    let row = client.query_one("SHOW server_version", &[]).await.unwrap();
+    assert_eq!(row.get::<_, &str>(0), "16.0");
+    client
+        .execute("CREATE TABLE t (id int PRIMARY KEY)", &[])
+        .await
+        .unwrap();
+    client.execute("BEGIN", &[]).await.unwrap();
+    client
+        .execute("INSERT INTO t VALUES ($1)", &[&1i32])
+        .await
+        .unwrap();
+    client.execute("ROLLBACK", &[]).await.unwrap();
+    let row = client
+        .query_one("SELECT count(*) FROM t", &[])
+        .await
+        .unwrap();
+    assert_eq!(row.get::<_, i64>(0), 0);
+    client.execute("", &[]).await.unwrap();
+}
+
+/// Guards against negotiation requests that are not answered with `N`, and against bad input that
+/// ends more than its own connection.
+#[rstest]
+#[case(&[0, 0, 0, 8, 4, 210, 22, 47], b"N")]
+#[case(&[0, 0, 0, 8, 4, 210, 22, 48], b"N")]
+#[case(&[0, 0, 0, 0, 0, 0, 0, 0], b"")]
+#[case(&[255; 64], b"")]
+#[case(b"GET / HTTP/1.1\r\n\r\n", b"")]
+#[tokio::test]
+async fn first_bytes(#[case] request: &[u8], #[case] answer: &[u8]) {
+    let address = start(config()).await;
+    let client = connect(address).await;
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    stream.write_all(request).await.unwrap();
+    stream.shutdown().await.unwrap();
+    let mut received = Vec::new();
+    // A close with unread input may come as a reset.
+    let _ = stream.read_to_end(&mut received).await;
+    assert_eq!(received, answer);
+    assert_eq!(one(&client, "SELECT 1").await, "1");
+}
