End sessions with 57P01 when the stand-in stops

A stop looked like a crash to clients, which a real server's fast shutdown does not. Sessions now get the error, and up to 200 ms pass for it to be written.

--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -18,7 +18,7 @@
 use crate::session::{Phase, Session, Stage};
 use crate::slots::Slots;
 use crate::socket;
-use crate::standby::Standby;
+use crate::standby::{Standby, TERMINATED};
 use crate::store::{Locks, Store};
 use crate::wal::Wal;
 
@@ -28,6 +28,9 @@
 /// Pause after an error of the listener.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time for the last answers to be written.
+const SHUTDOWN: Duration = Duration::from_millis(200);
+
 /// What a stored deadline is for.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Timer {
@@ -116,7 +119,7 @@
                 }
             };
             tokio::select! {
-                () = &mut stop => return,
+                () = &mut stop => break,
                 accepted = listener.accept(), if self.accepting => {
                     self.now = Instant::now();
                     match accepted {
@@ -138,11 +141,31 @@
             self.settle();
             if let Some(until) = self.faults.frozen.take() {
                 tokio::select! {
-                    () = &mut stop => return,
+                    () = &mut stop => break,
                     () = tokio::time::sleep_until(until) => {}
                 }
             }
         }
+        drop(listener);
+        self.shut_down(events).await;
+    }
+
+    /// Ends all sessions with an error, as a server does on a fast shutdown.
+    async fn shut_down(mut self, mut events: UnboundedReceiver<Event>) {
+        let open: Vec<_> = self.sessions.keys().copied().collect();
+        for id in &open {
+            self.refuse(*id, "57P01", TERMINATED);
+        }
+        let closed = async {
+            let mut left = open.len();
+            while left > 0 {
+                let event = events.recv().await;
+                left -= usize::from(matches!(event, Some(Event::Closed(_))));
+            }
+        };
+        // A client that does not read must not hold up the end.
+        let _ = tokio::time::timeout(SHUTDOWN, closed).await;
+        tracing::info!(target = %self.config.target, "stopped");
     }
 
     fn begin(&mut self) {
--- a/components/standin/tests/limits.rs
+++ b/components/standin/tests/limits.rs
@@ -118,3 +118,27 @@
     connection.abort();
     support::until(&other, "SELECT id FROM t", &["1"]).await;
 }
+
+/// Guards against a stop that clients cannot tell from a crash, or that commits open work.
+#[tokio::test]
+async fn stop() {
+    let bound = standin::bind(config()).await.unwrap();
+    let address = bound.addr();
+    let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+    let server = tokio::spawn(bound.run(async {
+        stopped.await.unwrap();
+    }));
+    let mut target = tokio_postgres::Config::new();
+    target.host("127.0.0.1").port(address.port()).user("tester");
+    let (client, connection) = target.connect(NoTls).await.unwrap();
+    let connection = tokio::spawn(connection);
+    client
+        .batch_execute("BEGIN; CREATE TABLE t (id int)")
+        .await
+        .unwrap();
+    stop.send(()).unwrap();
+    let reason = connection.await.unwrap().unwrap_err();
+    assert_eq!(reason.code().unwrap().code(), "57P01");
+    server.await.unwrap();
+    try_connect(address).await.unwrap_err();
+}
--- a/components/standin/tests/replication.rs
+++ b/components/standin/tests/replication.rs
@@ -209,3 +209,63 @@
         .await
         .unwrap();
 }
+
+/// Moves one between two of ten accounts, as often as it takes to win over deadlocks.
+async fn transfer(client: &tokio_postgres::Client, from: u64, to: u64) {
+    loop {
+        let sql = format!(
+            "BEGIN; UPDATE a SET n = n - 1 WHERE id = {from};
+            UPDATE a SET n = n + 1 WHERE id = {to}; COMMIT"
+        );
+        match client.batch_execute(&sql).await {
+            Ok(()) => return,
+            Err(error) => {
+                assert_eq!(error.code().unwrap().code(), "40P01");
+                client.batch_execute("ROLLBACK").await.unwrap();
+            }
+        }
+    }
+}
+
+/// Guards against transactions that mix, that readers or replicas see in part, or that lose
+/// updates.
+#[tokio::test]
+async fn transfers() {
+    let address = start(config()).await;
+    let primary = connect(address).await;
+    let values: Vec<_> = (0..10).map(|id| format!("({id}, 100)")).collect();
+    let table = "CREATE TABLE a (id int PRIMARY KEY, n int)";
+    primary.batch_execute(table).await.unwrap();
+    let insert = format!("INSERT INTO a VALUES {}", values.join(", "));
+    primary.batch_execute(&insert).await.unwrap();
+    let replica = connect(replica(address, Duration::from_millis(1)).await).await;
+    until(&replica, "SELECT sum(n) FROM a", &["1000"]).await;
+    let mut writers = tokio::task::JoinSet::new();
+    for writer in 0..8u64 {
+        let client = connect(address).await;
+        writers.spawn(async move {
+            for step in 0..50 {
+                let from = (writer * 3 + step * 7) % 10;
+                transfer(&client, from, (from + 1 + step % 9) % 10).await;
+            }
+        });
+    }
+    while !writers.is_empty() {
+        assert_eq!(one(&primary, "SELECT sum(n) FROM a").await, "1000");
+        assert_eq!(one(&replica, "SELECT sum(n) FROM a").await, "1000");
+        if let Some(ended) = writers.try_join_next() {
+            ended.unwrap();
+        }
+    }
+    let mut expected = [100i64; 10];
+    for (writer, step) in (0..8).flat_map(|writer| (0..50).map(move |step| (writer, step))) {
+        let from = (writer * 3 + step * 7) % 10;
+        expected[from] -= 1;
+        expected[(from + 1 + step % 9) % 10] += 1;
+    }
+    let expected = expected.map(|n| n.to_string());
+    let expected: Vec<_> = expected.iter().map(String::as_str).collect();
+    for client in [&primary, &replica] {
+        until(client, "SELECT n FROM a ORDER BY id", &expected).await;
+    }
+}
