--- a/components/standin/src/extended.rs
+++ b/components/standin/src/extended.rs
@@ -4,6 +4,7 @@
 
 use crate::describe;
 use crate::failure::{Failure, Outcome, failure};
+use crate::params;
 use crate::plan::Plan;
 use crate::reply;
 use crate::server::Server;
@@ -22,7 +23,7 @@
             let text = "cannot insert multiple commands into a prepared statement";
             return failure("42601", text);
         }
-        let mut params = Vec::new();
+        let mut types = Vec::new();
         if let Some(plan) = plans.first() {
             let own = session.transaction.as_ref();
             allowed(plan, own)?;
@@ -30,8 +31,8 @@
                 store: &self.store,
                 own,
             };
-            params = describe::params(plan, view, &parse.type_oids)?;
-            describe::fields(plan, view, &params)?;
+            types = params::params(plan, view, &parse.type_oids)?;
+            describe::fields(plan, view, &types)?;
         }
         let name = parse.name.unwrap_or_default();
         if !name.is_empty() && session.statements.contains_key(&name) {
@@ -39,7 +40,13 @@
             return failure("42P05", text);
         }
         let text = parse.query;
-        session.statements.insert(name, Prepared { text, params });
+        session.statements.insert(
+            name,
+            Prepared {
+                text,
+                params: types,
+            },
+        );
         reply::put(&mut session.reply, &ParseComplete::new());
         Ok(())
     }
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -17,6 +17,7 @@
 mod extended;
 mod failure;
 mod faults;
+mod params;
 mod parse;
 mod plan;
 mod query;
--- a/components/standin/src/statement.rs
+++ b/components/standin/src/statement.rs
@@ -157,41 +157,36 @@
             own: Some(own),
         };
         let fields = describe::fields(plan, view, types)?;
-        if plan.writes() && (facts.recovery || own.read_only) {
-            let command = if plan.command() == "SELECT" {
-                "SELECT FOR UPDATE"
-            } else {
-                plan.command()
-            };
-            let text = format!("cannot execute {command} in a read-only transaction");
-            return Err(Failure::new("25006", text).into());
-        }
+        writable(plan, facts.recovery || own.read_only)?;
         let mut scope = Scope {
             facts,
             settings: &session.settings,
             params,
             actions: Vec::new(),
         };
-        let outcome = Executor {
+        let mut executor = Executor {
             session: id,
             store: &mut self.store,
             locks: &mut self.locks,
             own,
             scope: &mut scope,
+        };
+        let done = match executor.run(plan) {
+            Ok(reply) => done(plan, fields, reply),
+            Err(stop) => return Err(self.halt(id, stop)),
+        };
+        for action in scope.actions {
+            self.act(id, action)?;
         }
-        .run(plan);
-        let actions = scope.actions;
-        match outcome {
-            Ok(reply) => {
-                let done = done(plan, fields, reply);
-                for action in actions {
-                    self.act(id, action)?;
-                }
-                Ok(done)
-            }
-            Err(Stop::Failed(failure)) => Err(failure.into()),
-            Err(Stop::Locked(holder)) if self.locks.wait(id, holder) => Err(Halt::Locked),
-            Err(Stop::Locked(_)) => Err(Failure::new("40P01", "deadlock detected").into()),
+        Ok(done)
+    }
+
+    /// Notes what a statement waits for, unless the wait would never end.
+    fn halt(&mut self, id: u64, stop: Stop) -> Halt {
+        match stop {
+            Stop::Failed(failure) => failure.into(),
+            Stop::Locked(holder) if self.locks.wait(id, holder) => Halt::Locked,
+            Stop::Locked(_) => Failure::new("40P01", "deadlock detected").into(),
         }
     }
 
@@ -242,6 +237,19 @@
     }
 }
 
+/// Refuses changes in a read-only transaction.
+fn writable(plan: &Plan, read_only: bool) -> Outcome<()> {
+    if !read_only || !plan.writes() {
+        return Ok(());
+    }
+    let command = match plan {
+        Plan::Select(_) => "SELECT FOR UPDATE",
+        other => other.command(),
+    };
+    let text = format!("cannot execute {command} in a read-only transaction");
+    failure("25006", text)
+}
+
 /// Runs against tables or the server's functions, rather than on the session's own state.
 fn tabular(plan: &Plan) -> bool {
     plan.writes() || matches!(plan, Plan::Select(_))
