Keep replicas' data when a primary restarts empty

The stand-in holds its data in memory. A primary that restarted on the same address had the same timeline, so that replicas took its empty copy or mixed two logs.

Each database now has an identity. A replica rejects a primary of another one unless a change of primary_conninfo told it to rebuild.

--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -37,11 +37,11 @@
 mod wal;
 
 use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 pub use config::Config;
 
@@ -63,11 +63,17 @@
     /// Serves until `stop` is done.
     pub async fn run(self, stop: impl Future<Output = ()>) {
         let (sender, events) = mpsc::unbounded_channel();
-        let server = server::Server::new(self.config, self.address, Instant::now(), sender);
+        let server = server::Server::new(self.config, self.address, identity(), sender);
         server.run(self.listener, events, stop).await;
     }
 }
 
+/// A number that no other database has: databases start at different times.
+fn identity() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |time| time.as_nanos() as u64)
+}
+
 /// Checks a configuration and binds its address.
 ///
 /// # Errors
--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -76,13 +76,14 @@
 }
 
 impl Server {
-    pub(crate) fn new(config: Config, address: SocketAddr, now: Instant, events: Events) -> Self {
+    /// `identity` tells the database of this process from that of any other.
+    pub(crate) fn new(config: Config, address: SocketAddr, identity: u64, events: Events) -> Self {
         Self {
             address,
-            now,
+            now: Instant::now(),
             store: Store::default(),
             locks: Locks::default(),
-            wal: Wal::new(),
+            wal: Wal::new(identity),
             standby: Standby::new(config.primary, config.lag),
             sessions: HashMap::new(),
             replicas: Vec::new(),
--- a/components/standin/src/standby.rs
+++ b/components/standin/src/standby.rs
@@ -12,7 +12,7 @@
 use crate::reply;
 use crate::server::{Server, Timer};
 use crate::session::Phase;
-use crate::upstream::{self, POSITION, Position, TIMELINE};
+use crate::upstream::{self, IDENTITY, POSITION, Position, TIMELINE};
 use crate::wal::{self, Ended, Message, Record};
 
 /// Text of the error that ends sessions when the role changes.
@@ -27,6 +27,10 @@
     pub(crate) recovery: bool,
     /// Holds a database; a new replica has none and needs a copy.
     seeded: bool,
+    /// May take the copy of another database, as told by a change of primary.
+    rebuild: bool,
+    /// Why the primary was rejected last; logged when it changes.
+    rejected: Option<&'static str>,
     /// Primary to follow.
     primary: Option<SocketAddr>,
     /// Value of `ALTER SYSTEM SET primary_conninfo` that waits for a reload.
@@ -49,6 +53,8 @@
         Self {
             recovery: primary.is_some(),
             seeded: primary.is_none(),
+            rebuild: false,
+            rejected: None,
             primary,
             pending: None,
             connection: 0,
@@ -91,20 +97,16 @@
         let Some(primary) = self.standby.primary.filter(|_| self.standby.recovery) else {
             return;
         };
-        let at = match self.standby.queue.back() {
-            Some((_, last)) => Position {
-                timeline: last.timeline,
-                end: last.end,
-            },
-            None if self.standby.seeded => Position {
-                timeline: self.wal.timeline,
-                end: self.wal.end,
-            },
+        let (timeline, end) = match self.standby.queue.back() {
+            Some((_, last)) => (last.timeline, last.end),
+            None if self.standby.seeded => (self.wal.timeline, self.wal.end),
             // No log reaches back to there, so that the primary sends a copy.
-            None => Position {
-                timeline: 0,
-                end: 0,
-            },
+            None => (0, 0),
+        };
+        let at = Position {
+            identity: self.wal.identity,
+            timeline,
+            end,
         };
         self.standby.received = self.standby.seeded.then_some(at.end);
         let events = self.events.clone();
@@ -113,6 +115,14 @@
         self.standby.task = Some(task.abort_handle());
     }
 
+    /// Leaves a primary that it must not follow; tried again, as the primary may change.
+    fn reject(&mut self, reason: &'static str) {
+        if self.standby.rejected.replace(reason) != Some(reason) {
+            tracing::warn!(target = %self.config.target, reason, "primary rejected");
+        }
+        self.reconnect_later();
+    }
+
     fn reconnect_later(&mut self) {
         self.standby.disconnect();
         let due = self.now + RECONNECT;
@@ -132,12 +142,17 @@
         let target = &self.config.target;
         let last = self.standby.queue.back();
         let own = last.map_or(self.wal.timeline, |(_, record)| record.timeline);
+        let any = !self.standby.seeded || self.standby.rebuild;
         match message {
             Message::Copy { timeline, .. } | Message::Resume { timeline, .. } if timeline < own => {
-                tracing::warn!(%target, timeline, own, "primary is on an older timeline");
-                self.reconnect_later();
+                self.reject("primary is on an older timeline");
+            }
+            // A primary that restarted empty must not empty its replicas.
+            Message::Copy { identity, .. } if !any && identity != self.wal.identity => {
+                self.reject("primary holds another database");
             }
             Message::Copy {
+                identity,
                 store,
                 timeline,
                 end,
@@ -147,11 +162,18 @@
                 self.store = store;
                 self.standby.queue.clear();
                 self.standby.seeded = true;
+                self.wal.identity = identity;
+                self.standby.rebuild = false;
+                self.standby.rejected = None;
                 self.wal.restart(timeline, end, history.clone());
                 self.standby.received = Some(end);
                 self.standby.source = Some((timeline, history));
             }
-            Message::Resume { timeline, history } => {
+            Message::Resume {
+                timeline, history, ..
+            } => {
+                self.standby.rebuild = false;
+                self.standby.rejected = None;
                 tracing::info!(%target, timeline, from = self.wal.end, "following the primary");
                 self.wal.adopt(timeline, &history);
                 self.standby.source = Some((timeline, history));
@@ -204,6 +226,13 @@
         self.wal.fork();
         let (target, timeline, start) = (&self.config.target, self.wal.timeline, self.wal.end);
         tracing::info!(%target, timeline, start, "promoted");
+        let open = self.sessions.iter().filter(|(_, s)| s.phase == Phase::Open);
+        for id in open.map(|(id, _)| *id).collect::<Vec<_>>() {
+            if let Some(session) = self.sessions.get_mut(&id) {
+                reply::parameter(&mut session.reply, "in_hot_standby", "off");
+            }
+            self.flush(id);
+        }
         self.announce();
     }
 
@@ -249,6 +278,7 @@
         let target = &self.config.target;
         tracing::info!(%target, primary = primary.map(|p| p.to_string()), "primary changed");
         self.standby.primary = primary;
+        self.standby.rebuild = true;
         self.connect();
     }
 
@@ -280,16 +310,23 @@
                 .get(name)
                 .and_then(|n| n.parse::<u64>().ok())
         };
-        let at = number(TIMELINE).zip(number(POSITION));
+        let identity = self.wal.identity;
+        let same = number(IDENTITY) == Some(identity);
+        let at = number(TIMELINE).zip(number(POSITION)).filter(|_| same);
         let tail = at.and_then(|(timeline, end)| self.wal.after(timeline, end));
         let (timeline, history) = (self.wal.timeline, self.wal.history.clone());
         let mut messages = Vec::new();
         match tail {
             Some(records) => {
-                messages.push(Message::Resume { timeline, history });
+                messages.push(Message::Resume {
+                    identity,
+                    timeline,
+                    history,
+                });
                 messages.extend(records.cloned().map(Message::Record));
             }
             None => messages.push(Message::Copy {
+                identity,
                 store: self.store.clone(),
                 timeline,
                 end: self.wal.end,
--- a/components/standin/src/upstream.rs
+++ b/components/standin/src/upstream.rs
@@ -13,12 +13,14 @@
 use crate::wal;
 
 /// Start-up parameters that give a replica's position.
+pub(crate) const IDENTITY: &str = "standin.identity";
 pub(crate) const TIMELINE: &str = "standin.timeline";
 pub(crate) const POSITION: &str = "standin.position";
 
 /// Where a replica stands when it connects.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Position {
+    pub(crate) identity: u64,
     pub(crate) timeline: u64,
     pub(crate) end: u64,
 }
@@ -39,6 +41,7 @@
     let parameters = [
         ("user", "standin".to_owned()),
         ("replication", "true".to_owned()),
+        (IDENTITY, at.identity.to_string()),
         (TIMELINE, at.timeline.to_string()),
         (POSITION, at.end.to_string()),
     ];
--- a/components/standin/src/wal.rs
+++ b/components/standin/src/wal.rs
@@ -36,6 +36,7 @@
 pub(crate) enum Message {
     /// The whole content; the replica discards its own.
     Copy {
+        identity: u64,
         store: Store,
         timeline: u64,
         end: u64,
@@ -43,6 +44,7 @@
     },
     /// Records follow from where the replica stands.
     Resume {
+        identity: u64,
         timeline: u64,
         history: Vec<Ended>,
     },
@@ -64,6 +66,8 @@
 /// ordered by timeline.
 #[derive(Debug)]
 pub(crate) struct Wal {
+    /// Tells databases apart; replicas have that of their primary.
+    pub(crate) identity: u64,
     pub(crate) timeline: u64,
     pub(crate) end: u64,
     pub(crate) history: Vec<Ended>,
@@ -72,8 +76,9 @@
 }
 
 impl Wal {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(identity: u64) -> Self {
         Self {
+            identity,
             timeline: 1,
             end: START,
             history: Vec::new(),
@@ -125,6 +130,7 @@
     /// Replaces everything by a copy that stands at the given position.
     pub(crate) fn restart(&mut self, timeline: u64, end: u64, history: Vec<Ended>) {
         *self = Self {
+            identity: self.identity,
             timeline,
             end,
             history,
--- a/components/standin/tests/replication.rs
+++ b/components/standin/tests/replication.rs
@@ -210,6 +210,69 @@
         .unwrap();
 }
 
+/// Guards against a commit on a server that was demoted while the transaction was open.
+#[tokio::test]
+async fn demotion_in_transaction() {
+    let new_address = start(config()).await;
+    let old_address = start(config()).await;
+    let (admin, client) = (connect(old_address).await, connect(old_address).await);
+    admin
+        .batch_execute("CREATE TABLE t (id int PRIMARY KEY)")
+        .await
+        .unwrap();
+    let (host, port) = (new_address.ip(), new_address.port());
+    let sql = format!("ALTER SYSTEM SET primary_conninfo = 'host={host} port={port}'");
+    admin.batch_execute(&sql).await.unwrap();
+    let sql = "BEGIN; INSERT INTO t VALUES (1); SELECT pg_reload_conf()";
+    client.batch_execute(sql).await.unwrap();
+    assert_eq!(code(&client, "COMMIT").await, "57P01");
+    let client = connect(old_address).await;
+    // The new primary never had the table.
+    until_missing(&client).await;
+}
+
+/// Waits until the table is gone; it must have no rows until then.
+async fn until_missing(client: &tokio_postgres::Client) {
+    let deadline = tokio::time::Instant::now() + support::PATIENCE;
+    while tokio::time::Instant::now() < deadline {
+        match client.simple_query("SELECT id FROM t").await {
+            Ok(rows) => assert!(rows.len() <= 2, "the open transaction was committed"),
+            Err(error) => return assert_eq!(error.code().unwrap().code(), "42P01"),
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("the server was not rebuilt");
+}
+
+/// Guards against a primary that restarted without its data and takes its replicas' data too.
+#[tokio::test]
+async fn restarted_empty() {
+    let bound = standin::bind(config()).await.unwrap();
+    let address = bound.addr();
+    let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+    let first = tokio::spawn(bound.run(async {
+        stopped.await.unwrap();
+    }));
+    let primary = connect(address).await;
+    let table = "CREATE TABLE t (id int PRIMARY KEY); INSERT INTO t VALUES (1)";
+    primary.batch_execute(table).await.unwrap();
+    let replica = connect(replica(address, Duration::ZERO).await).await;
+    until(&replica, "SELECT id FROM t", &["1"]).await;
+    stop.send(()).unwrap();
+    first.await.unwrap();
+    let mut config = config();
+    config.listen = address;
+    let empty = connect(start(config).await).await;
+    empty
+        .batch_execute("CREATE TABLE other (id int)")
+        .await
+        .unwrap();
+    // Long enough for some attempts of the replica; fewer could only miss the fault.
+    tokio::time::sleep(Duration::from_millis(350)).await;
+    assert_eq!(rows(&replica, "SELECT id FROM t").await, ["1"]);
+    assert_eq!(code(&replica, "SELECT * FROM other").await, "42P01");
+}
+
 /// Moves one between two of ten accounts, as often as it takes to win over deadlocks.
 async fn transfer(client: &tokio_postgres::Client, from: u64, to: u64) {
     loop {
