--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -14,8 +14,10 @@
 mod event;
 mod exec;
 mod expr;
+mod extended;
 mod failure;
 mod faults;
+mod params;
 mod parse;
 mod plan;
 mod query;
@@ -23,6 +25,7 @@
 mod server;
 mod session;
 mod settings;
+mod shape;
 mod slots;
 mod socket;
 mod standby;
@@ -34,11 +37,11 @@
 mod wal;
 
 use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 pub use config::Config;
 
@@ -58,16 +61,19 @@
     }
 
     /// Serves until `stop` is done.
-    ///
-    /// # Errors
-    /// When the listener fails.
-    pub async fn run(self, stop: impl Future<Output = ()>) -> Result<()> {
+    pub async fn run(self, stop: impl Future<Output = ()>) {
         let (sender, events) = mpsc::unbounded_channel();
-        let server = server::Server::new(self.config, self.address, Instant::now(), sender);
-        server.run(self.listener, events, stop).await
+        let server = server::Server::new(self.config, self.address, identity(), sender);
+        server.run(self.listener, events, stop).await;
     }
 }
 
+/// A number that no other database has: databases start at different times.
+fn identity() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |time| time.as_nanos() as u64)
+}
+
 /// Checks a configuration and binds its address.
 ///
 /// # Errors
@@ -88,7 +94,8 @@
 /// Binds and serves until `stop` is done.
 ///
 /// # Errors
-/// As [`bind`] and [`Bound::run`].
+/// As [`bind`].
 pub async fn run(config: Config, stop: impl Future<Output = ()>) -> Result<()> {
-    bind(config).await?.run(stop).await
+    bind(config).await?.run(stop).await;
+    Ok(())
 }
--- a/components/standin/src/standby.rs
+++ b/components/standin/src/standby.rs
@@ -12,9 +12,12 @@
 use crate::reply;
 use crate::server::{Server, Timer};
 use crate::session::Phase;
-use crate::upstream::{self, POSITION, Position, TIMELINE};
+use crate::upstream::{self, IDENTITY, POSITION, Position, TIMELINE};
 use crate::wal::{self, Ended, Message, Record};
 
+/// Text of the error that ends sessions when the role changes.
+pub(crate) const TERMINATED: &str = "terminating connection due to administrator command";
+
 /// Pause before a replica connects again.
 const RECONNECT: Duration = Duration::from_millis(100);
 
@@ -24,6 +27,10 @@
     pub(crate) recovery: bool,
     /// Holds a database; a new replica has none and needs a copy.
     seeded: bool,
+    /// May take the copy of another database, as told by a change of primary.
+    rebuild: bool,
+    /// Why the primary was rejected last; logged when it changes.
+    rejected: Option<&'static str>,
     /// Primary to follow.
     primary: Option<SocketAddr>,
     /// Value of `ALTER SYSTEM SET primary_conninfo` that waits for a reload.
@@ -46,6 +53,8 @@
         Self {
             recovery: primary.is_some(),
             seeded: primary.is_none(),
+            rebuild: false,
+            rejected: None,
             primary,
             pending: None,
             connection: 0,
@@ -58,10 +67,9 @@
         }
     }
 
-    /// Drops the connection and what it has delivered but was not replayed.
+    /// Drops the connection; what it has delivered is still replayed.
     fn disconnect(&mut self) {
         self.connection += 1;
-        self.queue.clear();
         self.source = None;
         if let Some(task) = self.task.take() {
             task.abort();
@@ -76,23 +84,45 @@
 }
 
 impl Server {
+    /// Connects again after a pause, unless a connection has been made meanwhile.
+    pub(crate) fn connect_again(&mut self) {
+        if self.standby.task.is_none() {
+            self.connect();
+        }
+    }
+
     /// Connects to the primary, if this is a replica that has one.
     pub(crate) fn connect(&mut self) {
         self.standby.disconnect();
         let Some(primary) = self.standby.primary.filter(|_| self.standby.recovery) else {
             return;
         };
+        let (timeline, end) = match self.standby.queue.back() {
+            Some((_, last)) => (last.timeline, last.end),
+            None if self.standby.seeded => (self.wal.timeline, self.wal.end),
+            // No log reaches back to there, so that the primary sends a copy.
+            None => (0, 0),
+        };
         let at = Position {
-            timeline: self.wal.timeline,
-            end: if self.standby.seeded { self.wal.end } else { 0 },
+            identity: self.wal.identity,
+            timeline,
+            end,
         };
-        self.standby.received = Some(self.wal.end);
+        self.standby.received = self.standby.seeded.then_some(at.end);
         let events = self.events.clone();
         let connection = self.standby.connection;
         let task = tokio::spawn(upstream::run(primary, connection, at, events));
         self.standby.task = Some(task.abort_handle());
     }
 
+    /// Leaves a primary that it must not follow; tried again, as the primary may change.
+    fn reject(&mut self, reason: &'static str) {
+        if self.standby.rejected.replace(reason) != Some(reason) {
+            tracing::warn!(target = %self.config.target, reason, "primary rejected");
+        }
+        self.reconnect_later();
+    }
+
     fn reconnect_later(&mut self) {
         self.standby.disconnect();
         let due = self.now + RECONNECT;
@@ -101,12 +131,7 @@
 
     pub(crate) fn on_lost(&mut self, connection: u64) {
         if connection == self.standby.connection && self.standby.recovery {
-            // Records that have arrived are still replayed; a new connection starts after them.
-            self.standby.task = None;
-            let due = self.now + RECONNECT;
-            let last = self.standby.queue.back().map(|(due, _)| *due);
-            self.timers
-                .insert((last.map_or(due, |last| last.max(due)), Timer::Connect));
+            self.reconnect_later();
         }
     }
 
@@ -115,15 +140,19 @@
             return;
         }
         let target = &self.config.target;
+        let last = self.standby.queue.back();
+        let own = last.map_or(self.wal.timeline, |(_, record)| record.timeline);
+        let any = !self.standby.seeded || self.standby.rebuild;
         match message {
-            Message::Copy { timeline, .. } | Message::Resume { timeline, .. }
-                if timeline < self.wal.timeline =>
-            {
-                let own = self.wal.timeline;
-                tracing::warn!(%target, timeline, own, "primary is on an older timeline");
-                self.reconnect_later();
+            Message::Copy { timeline, .. } | Message::Resume { timeline, .. } if timeline < own => {
+                self.reject("primary is on an older timeline");
+            }
+            // A primary that restarted empty must not empty its replicas.
+            Message::Copy { identity, .. } if !any && identity != self.wal.identity => {
+                self.reject("primary holds another database");
             }
             Message::Copy {
+                identity,
                 store,
                 timeline,
                 end,
@@ -131,12 +160,20 @@
             } => {
                 tracing::info!(%target, timeline, end, "rebuilt from a copy of the primary");
                 self.store = store;
+                self.standby.queue.clear();
                 self.standby.seeded = true;
+                self.wal.identity = identity;
+                self.standby.rebuild = false;
+                self.standby.rejected = None;
                 self.wal.restart(timeline, end, history.clone());
                 self.standby.received = Some(end);
                 self.standby.source = Some((timeline, history));
             }
-            Message::Resume { timeline, history } => {
+            Message::Resume {
+                timeline, history, ..
+            } => {
+                self.standby.rebuild = false;
+                self.standby.rejected = None;
                 tracing::info!(%target, timeline, from = self.wal.end, "following the primary");
                 self.wal.adopt(timeline, &history);
                 self.standby.source = Some((timeline, history));
@@ -163,7 +200,8 @@
                 return;
             };
             if record.start != self.wal.end {
-                // A gap: the copy or the resumed log starts elsewhere than this server stands.
+                // A gap: this log does not continue what the server has.
+                self.standby.queue.clear();
                 return self.reconnect_later();
             }
             for change in &record.changes {
@@ -180,6 +218,7 @@
     /// replayed is lost, as with a real server whose lag is on the way to it.
     pub(crate) fn promote(&mut self) {
         self.standby.disconnect();
+        self.standby.queue.clear();
         self.standby.recovery = false;
         self.standby.primary = None;
         self.standby.pending = None;
@@ -187,6 +226,13 @@
         self.wal.fork();
         let (target, timeline, start) = (&self.config.target, self.wal.timeline, self.wal.end);
         tracing::info!(%target, timeline, start, "promoted");
+        let open = self.sessions.iter().filter(|(_, s)| s.phase == Phase::Open);
+        for id in open.map(|(id, _)| *id).collect::<Vec<_>>() {
+            if let Some(session) = self.sessions.get_mut(&id) {
+                reply::parameter(&mut session.reply, "in_hot_standby", "off");
+            }
+            self.flush(id);
+        }
         self.announce();
     }
 
@@ -232,6 +278,7 @@
         let target = &self.config.target;
         tracing::info!(%target, primary = primary.map(|p| p.to_string()), "primary changed");
         self.standby.primary = primary;
+        self.standby.rebuild = true;
         self.connect();
     }
 
@@ -245,8 +292,7 @@
             .filter(|other| *other != id)
             .collect();
         for other in others {
-            let text = "terminating connection due to administrator command";
-            self.refuse(other, "57P01", text);
+            self.refuse(other, "57P01", TERMINATED);
         }
         let target = &self.config.target;
         tracing::info!(%target, "demoted");
@@ -264,16 +310,23 @@
                 .get(name)
                 .and_then(|n| n.parse::<u64>().ok())
         };
-        let at = number(TIMELINE).zip(number(POSITION));
+        let identity = self.wal.identity;
+        let same = number(IDENTITY) == Some(identity);
+        let at = number(TIMELINE).zip(number(POSITION)).filter(|_| same);
         let tail = at.and_then(|(timeline, end)| self.wal.after(timeline, end));
         let (timeline, history) = (self.wal.timeline, self.wal.history.clone());
         let mut messages = Vec::new();
         match tail {
             Some(records) => {
-                messages.push(Message::Resume { timeline, history });
+                messages.push(Message::Resume {
+                    identity,
+                    timeline,
+                    history,
+                });
                 messages.extend(records.cloned().map(Message::Record));
             }
             None => messages.push(Message::Copy {
+                identity,
                 store: self.store.clone(),
                 timeline,
                 end: self.wal.end,
--- a/components/standin/tests/replication.rs
+++ b/components/standin/tests/replication.rs
@@ -209,3 +209,126 @@
         .await
         .unwrap();
 }
+
+/// Guards against a commit on a server that was demoted while the transaction was open.
+#[tokio::test]
+async fn demotion_in_transaction() {
+    let new_address = start(config()).await;
+    let old_address = start(config()).await;
+    let (admin, client) = (connect(old_address).await, connect(old_address).await);
+    admin
+        .batch_execute("CREATE TABLE t (id int PRIMARY KEY)")
+        .await
+        .unwrap();
+    let (host, port) = (new_address.ip(), new_address.port());
+    let sql = format!("ALTER SYSTEM SET primary_conninfo = 'host={host} port={port}'");
+    admin.batch_execute(&sql).await.unwrap();
+    let sql = "BEGIN; INSERT INTO t VALUES (1); SELECT pg_reload_conf()";
+    client.batch_execute(sql).await.unwrap();
+    assert_eq!(code(&client, "COMMIT").await, "57P01");
+    let client = connect(old_address).await;
+    // The new primary never had the table.
+    until_missing(&client).await;
+}
+
+/// Waits until the table is gone; it must have no rows until then.
+async fn until_missing(client: &tokio_postgres::Client) {
+    let deadline = tokio::time::Instant::now() + support::PATIENCE;
+    while tokio::time::Instant::now() < deadline {
+        match client.simple_query("SELECT id FROM t").await {
+            Ok(rows) => assert!(rows.len() <= 2, "the open transaction was committed"),
+            Err(error) => return assert_eq!(error.code().unwrap().code(), "42P01"),
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("the server was not rebuilt");
+}
+
+/// Guards against a primary that restarted without its data and takes its replicas' data too.
+#[tokio::test]
+async fn restarted_empty() {
+    let bound = standin::bind(config()).await.unwrap();
+    let address = bound.addr();
+    let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+    let first = tokio::spawn(bound.run(async {
+        stopped.await.unwrap();
+    }));
+    let primary = connect(address).await;
+    let table = "CREATE TABLE t (id int PRIMARY KEY); INSERT INTO t VALUES (1)";
+    primary.batch_execute(table).await.unwrap();
+    let replica = connect(replica(address, Duration::ZERO).await).await;
+    until(&replica, "SELECT id FROM t", &["1"]).await;
+    stop.send(()).unwrap();
+    first.await.unwrap();
+    let mut config = config();
+    config.listen = address;
+    let empty = connect(start(config).await).await;
+    empty
+        .batch_execute("CREATE TABLE other (id int)")
+        .await
+        .unwrap();
+    // Long enough for some attempts of the replica; fewer could only miss the fault.
+    tokio::time::sleep(Duration::from_millis(350)).await;
+    assert_eq!(rows(&replica, "SELECT id FROM t").await, ["1"]);
+    assert_eq!(code(&replica, "SELECT * FROM other").await, "42P01");
+}
+
+/// Moves one between two of ten accounts, as often as it takes to win over deadlocks.
+async fn transfer(client: &tokio_postgres::Client, from: u64, to: u64) {
+    loop {
+        let sql = format!(
+            "BEGIN; UPDATE a SET n = n - 1 WHERE id = {from};
+            UPDATE a SET n = n + 1 WHERE id = {to}; COMMIT"
+        );
+        match client.batch_execute(&sql).await {
+            Ok(()) => return,
+            Err(error) => {
+                assert_eq!(error.code().unwrap().code(), "40P01");
+                client.batch_execute("ROLLBACK").await.unwrap();
+            }
+        }
+    }
+}
+
+/// Guards against transactions that mix, that readers or replicas see in part, or that lose
+/// updates.
+#[tokio::test]
+async fn transfers() {
+    let address = start(config()).await;
+    let primary = connect(address).await;
+    let values: Vec<_> = (0..10).map(|id| format!("({id}, 100)")).collect();
+    let table = "CREATE TABLE a (id int PRIMARY KEY, n int)";
+    primary.batch_execute(table).await.unwrap();
+    let insert = format!("INSERT INTO a VALUES {}", values.join(", "));
+    primary.batch_execute(&insert).await.unwrap();
+    let replica = connect(replica(address, Duration::from_millis(1)).await).await;
+    until(&replica, "SELECT sum(n) FROM a", &["1000"]).await;
+    let mut writers = tokio::task::JoinSet::new();
+    for writer in 0..8u64 {
+        let client = connect(address).await;
+        writers.spawn(async move {
+            for step in 0..50 {
+                let from = (writer * 3 + step * 7) % 10;
+                transfer(&client, from, (from + 1 + step % 9) % 10).await;
+            }
+        });
+    }
+    while !writers.is_empty() {
+        assert_eq!(one(&primary, "SELECT sum(n) FROM a").await, "1000");
+        assert_eq!(one(&replica, "SELECT sum(n) FROM a").await, "1000");
+        if let Some(ended) = writers.try_join_next() {
+            ended.unwrap();
+        }
+    }
+    let mut expected = [100i64; 10];
+    for (writer, step) in (0..8).flat_map(|writer| (0..50).map(move |step| (writer, step))) {
+        let from = (writer * 3 + step * 7) % 10;
+        expected[from] -= 1;
+        expected[(from + 1 + step % 9) % 10] += 1;
+    }
+    let expected = expected.map(|n| n.to_string());
+    let expected: Vec<_> = expected.iter().map(String::as_str).collect();
+    for client in [&primary, &replica] {
+        until(client, "SELECT n FROM a ORDER BY id", &expected).await;
+    }
+}
