Found the cluster once and connect only enrolled entries

Change: a log with nothing but the first member list counts as blank; an entry that is not enrolled has no quota, and a target without quota is not reported at all.

--- a/components/control/src/join.rs
+++ b/components/control/src/join.rs
@@ -7,12 +7,21 @@
 use crate::convert::{Hello, Incoming};
 use crate::process::Loop;
 
+/// Index of the first member list.
+const FOUNDING_INDEX: u64 = 1;
+
 impl Loop {
     /// Whether this disk belongs to no member list yet.
     pub(crate) fn is_outside(&self) -> bool {
         consensus::member::find(self.node.members(), self.node.identity()).is_none()
     }
 
+    /// Whether the log holds at most the first member list. A founder that has it still counts as
+    /// blank for the others, which may hear of it only after it has founded the cluster.
+    fn is_founding(&self) -> bool {
+        self.node.last().index <= FOUNDING_INDEX
+    }
+
     fn is_blank(&self) -> bool {
         self.node.members().is_empty()
     }
@@ -28,7 +37,7 @@
             identity: self.node.identity().clone(),
             version: wire::VERSION,
             address: address.to_string(),
-            blank: self.is_blank(),
+            blank: self.is_founding(),
         }
     }
 
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -149,23 +149,25 @@
         }
     }
 
-    /// Whether the stream is open.
-    #[must_use]
-    pub fn is_up(&self) -> bool {
-        matches!(self.state, State::Up { .. })
-    }
-
     /// Connections that the entry may have to a target with the given floor.
+    ///
+    /// An entry that is not enrolled has none: floors are reserved for enrolled entries only.
     #[must_use]
     pub fn quota(&self, now: Instant, target: &Name, floor: u32) -> u32 {
-        if self.lease.valid(now) {
+        let enrolled = self
+            .catalog
+            .as_ref()
+            .is_some_and(|c| c.is_enrolled(self.instance.as_str()));
+        if !enrolled {
+            0
+        } else if self.lease.valid(now) {
             self.quotas.get(target).copied().unwrap_or(floor)
         } else {
             floor
         }
     }
 
-    /// When [`Self::on_tick`] is due next.
+    /// When a dial, a renewal or the end of a silent stream is due next.
     #[must_use]
     pub fn deadline(&self) -> Option<Instant> {
         match &self.state {
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -118,6 +118,7 @@
             return;
         };
         let mut due = Vec::new();
+        let mut unwatched = Vec::new();
         for (index, server) in self.servers.iter_mut().enumerate().filter(|(_, s)| s.known) {
             let floor = catalog
                 .target(server.name.as_str())
@@ -126,6 +127,11 @@
             if quota == server.quota {
                 continue;
             }
+            if quota == 0 {
+                // Without a connection nothing is known of the target; its silence says nothing.
+                server.watch.last = None;
+                unwatched.extend(server.watch.conn);
+            }
             server.quota = quota;
             let mut actions = Vec::new();
             // One of them is the watch's.
@@ -136,6 +142,9 @@
             self.act_on_pool(now, index, actions);
             self.pumped.push(index);
         }
+        for key in unwatched {
+            self.drop_conn(now, key);
+        }
     }
 
     /// Follows a change of the catalog.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -5,7 +5,7 @@
 mod back;
 mod batch;
 mod caller;
-mod control;
+pub mod control;
 mod database;
 mod dispatch;
 mod event;
--- a/examples/bench.rs
+++ b/examples/bench.rs
@@ -29,7 +29,12 @@
 
 async fn connect(port: u16) -> Result<Client> {
     let mut config = Config::new();
-    config.host("127.0.0.1").port(port).user("demo").password("demo").dbname("orders");
+    config
+        .host("127.0.0.1")
+        .port(port)
+        .user("demo")
+        .password("demo")
+        .dbname("orders");
     let (client, connection) = config.connect(NoTls).await.context("connect")?;
     tokio::spawn(async move {
         // The client's next call reports the end of the connection.
@@ -50,7 +55,11 @@
     }
     let us = |histogram: &Histogram<u64>, q| histogram.value_at_quantile(q) as f64 / 1e3;
     for (name, histogram) in ["direct", "entry"].iter().zip(&series) {
-        println!("{name}: p50 {:.1} us, p99 {:.1} us", us(histogram, 0.5), us(histogram, 0.99));
+        println!(
+            "{name}: p50 {:.1} us, p99 {:.1} us",
+            us(histogram, 0.5),
+            us(histogram, 0.99)
+        );
     }
     let added = |q| us(&series[1], q) - us(&series[0], q);
     println!("added: p50 {:.1} us, p99 {:.1} us", added(0.5), added(0.99));
@@ -76,7 +85,10 @@
     while let Some(result) = callers.join_next().await {
         done += result??;
     }
-    let (wall, used) = (started.elapsed().as_secs_f64(), processor_seconds(pid)? - before);
+    let (wall, used) = (
+        started.elapsed().as_secs_f64(),
+        processor_seconds(pid)? - before,
+    );
     let done = done as f64;
     println!(
         "{CALLERS} callers: {:.0} statements/s, {:.0} statements per second of the entry's processor time",
@@ -90,6 +102,10 @@
 fn processor_seconds(pid: &str) -> Result<f64> {
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).context("process")?;
     let fields = stat.rsplit_once(") ").context("stat")?.1.split(' ');
-    let ticks: Vec<f64> = fields.skip(11).take(2).map(str::parse).collect::<Result<_, _>>()?;
+    let ticks: Vec<f64> = fields
+        .skip(11)
+        .take(2)
+        .map(str::parse)
+        .collect::<Result<_, _>>()?;
     Ok(ticks.iter().sum::<f64>() / TICKS_PER_SECOND)
 }
