--- a/components/catalog/src/change.rs
+++ b/components/catalog/src/change.rs
@@ -151,6 +151,33 @@
     Refused(Vec<Finding>),
 }
 
+impl fmt::Display for Winner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            revision,
+            request,
+            operator,
+        } = self;
+        write!(f, "{request} by {operator} at revision {}", revision.0)
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Applied(revision) => write!(f, "in force from revision {}", revision.0),
+            Self::Unchanged => f.write_str("unchanged"),
+            Self::Conflict(winner) => write!(f, "conflict with {winner}"),
+            Self::Refused(findings) => {
+                f.write_str("refused")?;
+                findings
+                    .iter()
+                    .try_for_each(|finding| write!(f, "; {finding}"))
+            }
+        }
+    }
+}
+
 impl Outcome {
     /// A refusal with one finding.
     pub(crate) fn refused(path: impl Into<String>, text: impl Into<String>) -> Self {
--- a/components/lease/src/hold.rs
+++ b/components/lease/src/hold.rs
@@ -28,7 +28,8 @@
         self.last
     }
 
-    /// Takes in the answer to renewal `seq`; false if it doesn't count.
+    /// Takes in the answer to renewal `seq` and returns how long that grant holds; none if it doesn't
+    /// count.
     ///
     /// The lease runs from the time at which that renewal was sent, so that an answer that took
     /// long gives less. `carried` is the revision that came with the grant and has to be
@@ -39,19 +40,15 @@
         ttl: Duration,
         carried: Revision,
         applied: Revision,
-    ) -> bool {
+    ) -> Option<Instant> {
         if applied < carried {
-            return false;
+            return None;
         }
-        let Some(index) = self.sent.iter().position(|(sent, _)| *sent == seq) else {
-            return false;
-        };
-        let Some((_, sent)) = self.sent.remove(index) else {
-            return false;
-        };
+        let index = self.sent.iter().position(|(sent, _)| *sent == seq)?;
+        let (_, sent) = self.sent.remove(index)?;
         let deadline = sent + ttl;
         self.deadline = Some(self.deadline.map_or(deadline, |last| last.max(deadline)));
-        true
+        Some(deadline)
     }
 
     /// Whether the lease holds at `now`; read the clock just before the answer is passed on.
--- a/components/lease/tests/hold.rs
+++ b/components/lease/tests/hold.rs
@@ -12,7 +12,8 @@
 }
 
 fn grant(lease: &mut Lease, seq: u64) -> bool {
-    lease.on_grant(seq, TTL, Revision(1), Revision(1))
+    let granted = lease.on_grant(seq, TTL, Revision(1), Revision(1));
+    granted.is_some()
 }
 
 /// The leader counts from a time after the sending; counting from the arrival would outlast it.
@@ -61,9 +62,12 @@
     let start = Instant::now();
     let mut lease = Lease::default();
     let seq = lease.on_send(start);
-    assert!(!lease.on_grant(seq, TTL, Revision(5), Revision(4)));
+    assert_eq!(lease.on_grant(seq, TTL, Revision(5), Revision(4)), None);
     assert!(!lease.valid(start));
-    assert!(lease.on_grant(seq, TTL, Revision(5), Revision(5)));
+    assert_eq!(
+        lease.on_grant(seq, TTL, Revision(5), Revision(5)),
+        Some(start + TTL)
+    );
     assert!(lease.valid(start));
 }
 
--- a/components/lease/tests/random.rs
+++ b/components/lease/tests/random.rs
@@ -3,9 +3,9 @@
 //! Guards two invariants: connections of all entries never exceed a target's limit, and once
 //! `fenced_by` says so, no process with a valid lease acts under an older catalog.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use lease::allowance::Allowance;
 use lease::grant::{Renewal, Table};
 use lease::hold::Lease;
 use lease::quota::{Answer, Quota, Split};
@@ -64,6 +64,7 @@
 }
 
 /// A running or frozen process of an entry.
+#[derive(Debug)]
 struct Process {
     entry: usize,
     boot: u64,
@@ -72,20 +73,10 @@
     /// How much slower than the leader's its clock is.
     slow_ppm: u32,
     lease: Lease,
-    sent: BTreeMap<u64, Instant>,
-    /// Amounts received by seq, with the deadline by the own clock.
-    grants: BTreeMap<u64, (u32, Instant)>,
+    allowance: Allowance,
     applied: Revision,
 }
 
-impl Process {
-    /// Connections that it may have open: any grant that holds, or the floor without one.
-    fn using(&self, now: Instant) -> u32 {
-        let valid = self.grants.values().filter(|(_, deadline)| now < *deadline);
-        valid.map(|(amount, _)| *amount).max().unwrap_or(FLOOR)
-    }
-}
-
 struct Up {
     entry: usize,
     boot: u64,
@@ -101,7 +92,7 @@
     boot: u64,
     seq: u64,
     revision: Revision,
-    amount: u32,
+    quotas: Vec<Quota>,
 }
 
 struct World {
@@ -165,8 +156,7 @@
             replaced: false,
             slow_ppm,
             lease: Lease::default(),
-            sent: BTreeMap::new(),
-            grants: BTreeMap::new(),
+            allowance: Allowance::default(),
             applied: Revision(1),
         });
     }
@@ -190,10 +180,7 @@
             }
             Event::Close(entry) => {
                 let index = self.present(entry);
-                let grants = &mut self.processes[index].grants;
-                if let Some((seq, grant)) = grants.pop_last() {
-                    *grants = BTreeMap::from([(seq, grant)]);
-                }
+                self.processes[index].allowance.on_closed();
             }
             Event::Restart { entry, frozen } => self.restart(entry, frozen),
             Event::Elect => (self.table, self.split) = leader(self.now),
@@ -210,16 +197,12 @@
         let now = self.local(self.processes[index].slow_ppm);
         let process = &mut self.processes[index];
         let seq = process.lease.on_send(now);
-        process.sent.insert(seq, now);
-        // With one grant left, everything beyond it is closed.
-        let single = process.grants.len() == 1;
-        let latest = process.grants.last_key_value().map_or(0, |(seq, _)| *seq);
         self.ups.push(Up {
             entry,
             boot: process.boot,
             seq,
             age: now - process.started,
-            confirmed: if single { latest } else { 0 },
+            confirmed: process.allowance.confirmed(now),
             demand,
             revision: process.applied,
         });
@@ -256,7 +239,7 @@
             boot: up.boot,
             seq: up.seq,
             revision: self.revision,
-            amount: out.first().map_or(FLOOR, |quota| quota.connections),
+            quotas: out,
         });
     }
 
@@ -266,14 +249,9 @@
             return;
         };
         process.applied = process.applied.max(down.revision);
-        process
-            .lease
-            .on_grant(down.seq, TTL, down.revision, process.applied);
-        let latest = process.grants.last_key_value().map_or(0, |(seq, _)| *seq);
-        // An answer that is overtaken by a later one says nothing of the quota any more.
-        if down.seq > latest {
-            let deadline = process.sent[&down.seq] + TTL;
-            process.grants.insert(down.seq, (down.amount, deadline));
+        let (lease, applied) = (&mut process.lease, process.applied);
+        if let Some(deadline) = lease.on_grant(down.seq, TTL, down.revision, applied) {
+            process.allowance.on_grant(down.seq, deadline, &down.quotas);
         }
     }
 
@@ -294,8 +272,8 @@
             // An entry has its floor once: without a lease nothing tells whether a frozen
             // predecessor has closed its share of it.
             let own = self.processes.iter().filter(|p| p.entry == index);
-            let above = own.map(|p| p.using(self.local(p.slow_ppm)).saturating_sub(FLOOR));
-            sum += FLOOR + above.sum::<u32>();
+            let most = own.map(|p| p.allowance.most(self.local(p.slow_ppm), "t", FLOOR));
+            sum += FLOOR + most.map(|most| most.saturating_sub(FLOOR)).sum::<u32>();
         }
         prop_assert!(sum <= LIMIT, "{sum} connections in use");
         for fence in &self.fences {
@@ -304,12 +282,7 @@
             }
             for process in &self.processes {
                 let valid = process.lease.valid(self.local(process.slow_ppm));
-                prop_assert!(
-                    !valid || process.applied >= *fence,
-                    "boot {} acts under {:?}, fence {fence:?}",
-                    process.boot,
-                    process.applied
-                );
+                prop_assert!(!valid || process.applied >= *fence, "{process:?} {fence:?}");
             }
         }
         Ok(())
