--- a/components/catalog/src/apply.rs
+++ b/components/catalog/src/apply.rs
@@ -6,12 +6,12 @@
 use types::{Name, Point, Revision};
 
 use crate::answers::Answer;
-use crate::catalog::{Catalog, Retired};
 use crate::change::{Change, Finding, Outcome, Winner};
 use crate::command::Command;
 use crate::database::{Database, Phase};
 use crate::generated::{Key, Values};
-use crate::path::Path;
+use crate::path::{LEVELS, Path};
+use crate::state::{Catalog, Retired};
 use crate::target::Target;
 use crate::tree::{MAX_NODES, Record};
 
@@ -138,18 +138,15 @@
             findings.push(Finding::new(path.to_string(), text));
         }
         if matches!(key, Key::ConnectionsLimit | Key::ConnectionsFloor) {
-            let values = self.tree.assume(path, path, key, value);
             let count = self.entries.len();
-            let place = path.to_string();
-            findings.extend(check_floor(
-                &place,
-                &values,
-                values.connections_limit,
-                count,
-            ));
+            if path.names().len() < LEVELS {
+                let values = self.tree.assume(path, path, key, value);
+                let limit = values.connections_limit;
+                findings.extend(check_floor(&path.to_string(), &values, limit, count));
+            }
             for target in self.targets.values() {
-                let place = self.path_of(&target.announcement);
-                if place != *path && path.covers(&place) {
+                if path.covers(&self.organisation, &target.announcement) {
+                    let place = self.path_of(&target.announcement);
                     let values = self.tree.assume(&place, path, key, value);
                     let limit = values
                         .connections_limit
@@ -164,10 +161,10 @@
     /// Derives the settings of the targets beneath `path` again.
     fn refresh(&mut self, path: &Path) {
         for (name, target) in &mut self.targets {
-            let place = Path::of(&self.organisation, &target.announcement);
-            if !path.covers(&place) {
+            if !path.covers(&self.organisation, &target.announcement) {
                 continue;
             }
+            let place = Path::of(&self.organisation, &target.announcement);
             target.values = self.tree.effective(&place);
             let database = self.databases.get_mut(&target.announcement.database);
             if let Some(database) = database.filter(|d| d.primary.as_ref() == Some(name)) {
--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -4,7 +4,7 @@
 
 mod answers;
 mod apply;
-pub mod catalog;
+
 pub mod change;
 pub mod command;
 pub mod database;
@@ -13,14 +13,15 @@
 pub mod path;
 mod phase;
 mod snapshot;
+mod state;
 pub mod target;
 pub mod tree;
 
-pub use catalog::Catalog;
 pub use change::{Change, Finding, Findings, Outcome, Winner};
 pub use command::Command;
 pub use database::{Database, Phase};
 pub use generated::{Key, TABLE, Values};
 pub use path::Path;
+pub use state::Catalog;
 pub use target::Target;
 pub use tree::Tree;
--- a/components/catalog/src/path.rs
+++ b/components/catalog/src/path.rs
@@ -27,15 +27,7 @@
     /// The node of the target that `announcement` describes.
     #[must_use]
     pub fn of(organisation: &Name, announcement: &Announcement) -> Self {
-        Self(vec![
-            organisation.clone(),
-            announcement.region.clone(),
-            announcement.domain.clone(),
-            announcement.service.clone(),
-            announcement.database.clone(),
-            announcement.group.clone(),
-            announcement.target.clone(),
-        ])
+        Self(parts(organisation, announcement).map(Clone::clone).to_vec())
     }
 
     /// Names from the organisation down.
@@ -44,10 +36,11 @@
         &self.0
     }
 
-    /// Whether `other` is this node or lies beneath it.
+    /// Whether the target that `announcement` describes is this node or lies beneath it.
     #[must_use]
-    pub fn covers(&self, other: &Self) -> bool {
-        other.0.starts_with(&self.0)
+    pub fn covers(&self, organisation: &Name, announcement: &Announcement) -> bool {
+        let parts = parts(organisation, announcement);
+        self.0.iter().zip(parts).all(|(own, part)| own == part)
     }
 
     /// Parses `a/b/c` and adds everything that is wrong with it to `findings`.
@@ -64,6 +57,18 @@
     }
 }
 
+const fn parts<'a>(organisation: &'a Name, announcement: &'a Announcement) -> [&'a Name; LEVELS] {
+    [
+        organisation,
+        &announcement.region,
+        &announcement.domain,
+        &announcement.service,
+        &announcement.database,
+        &announcement.group,
+        &announcement.target,
+    ]
+}
+
 impl TryFrom<&str> for Path {
     type Error = Findings;
 
--- a/components/catalog/src/phase.rs
+++ b/components/catalog/src/phase.rs
@@ -2,9 +2,9 @@
 
 use types::{Lsn, Name, Point, Term};
 
-use crate::catalog::Catalog;
 use crate::change::Outcome;
 use crate::database::{Database, Phase};
+use crate::state::Catalog;
 
 impl Catalog {
     pub(crate) fn fence(&mut self, name: &Name, term: Term, hold: bool, reason: &str) -> Outcome {
--- a/components/catalog/src/snapshot.rs
+++ b/components/catalog/src/snapshot.rs
@@ -7,11 +7,11 @@
 use types::{Lsn, Name, Revision, Term};
 
 use crate::answers::{Answer, Answers};
-use crate::catalog::{Catalog, Retired};
 use crate::change::{Finding, Label, Outcome, Winner};
 use crate::database::{Database, Phase};
 use crate::generated::Key;
 use crate::path::Path;
+use crate::state::{Catalog, Retired};
 use crate::target::Target;
 use crate::tree::{Node, Record, Tree};
 
