--- a/components/catalog/src/command.rs
+++ b/components/catalog/src/command.rs
@@ -1,5 +1,7 @@
 //! Commands of the replicated log.
 
+use std::fmt;
+
 use types::target::{Announcement, State};
 use types::{Lsn, Name, Point, Revision, Term};
 
@@ -88,6 +90,57 @@
     },
 }
 
+/// One line for logs.
+impl fmt::Display for Command {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Set {
+                path, key, value, ..
+            } => match value {
+                Some(value) => write!(f, "set {path}:{} to {value}", key.name()),
+                None => write!(f, "unset {path}:{}", key.name()),
+            },
+            Self::Announce(announcement) => write!(f, "announce {}", announcement.target),
+            Self::Mark { target, state, .. } => write!(f, "mark {target} as {state:?}"),
+            Self::Enroll { instance, domain } => write!(f, "enroll {instance} in {domain}"),
+            Self::Fence {
+                database,
+                term,
+                hold,
+                reason,
+            } => {
+                let hold = if *hold { " with hold" } else { "" };
+                write!(f, "fence {database} for term {}{hold}: {reason}", term.0)
+            }
+            Self::Choose {
+                database,
+                term,
+                target,
+                point,
+            } => {
+                let Point { lsn, .. } = point;
+                write!(
+                    f,
+                    "choose {target} at {lsn} for {database} in term {}",
+                    term.0
+                )
+            }
+            Self::Open {
+                database,
+                term,
+                target,
+                start,
+            } => write!(
+                f,
+                "open {database} on {target} in term {} from {start}",
+                term.0
+            ),
+            Self::Retire { target } => write!(f, "retire {target}"),
+            Self::Dismiss { instance } => write!(f, "dismiss {instance}"),
+        }
+    }
+}
+
 impl Command {
     /// Base revision, request id and operator of an operator's change.
     #[must_use]
