Keep holds, quotas and silence to their deadlines

Cause: a planned switch was confirmed while transactions were open; a connection in use outlived its quota; the silence of a dead primary waited for the next renewal (250 ms); a timer was added for each statement.

Change: the revision of a renewal stays below a hold until what was begun before it has ended, and such work is acknowledged only within the lease as it was before the hold; surplus connections close when the grant that allowed them ends; silence is reported when it passes health.detect_ms; one timer a queue.

--- a/components/control/src/lead.rs
+++ b/components/control/src/lead.rs
@@ -63,10 +63,13 @@
     /// State of a leader whose catalog holds every command that was committed before its epoch.
     #[must_use]
     pub fn new(now: Instant, catalog: &Catalog) -> Self {
-        let values = catalog.values();
-        let ttl = Duration::from_millis(values.lease_ttl_ms.into());
+        let root = catalog::Path::root(catalog.organisation());
+        let greatest = |key| catalog.tree().greatest(&root, key);
+        // An earlier leader may have granted leases under settings that were changed since.
+        let ttl = Duration::from_millis(greatest(catalog::Key::LeaseTtlMs).into());
+        let drift = greatest(catalog::Key::LeaseDriftPpm);
         let enrolled: Vec<&Name> = catalog.entries().map(|(name, _)| name).collect();
-        let grants = Table::new(now, ttl, values.lease_drift_ppm, enrolled.iter().copied());
+        let grants = Table::new(now, ttl, drift, enrolled.iter().copied());
         let split = Split::new(grants.grace(), enrolled.iter().copied());
         let mut lead = Self {
             grants,
--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -212,7 +212,12 @@
             self.acknowledge(now, caller_key, probe, held);
         }
         if free {
+            let index = self.conns.get(key).map(|conn| conn.server);
             self.release(now, key);
+            if let Some(index) = index {
+                let database = self.servers[index].database.clone();
+                self.report_if_held(now, &database);
+            }
         }
     }
 
@@ -370,7 +375,7 @@
     }
 
     /// Tells a caller that its write is done, with the session's token before ReadyForQuery.
-    fn confirm(&mut self, _now: Instant, key: CallerKey, point: Point, held: BytesMut) {
+    fn confirm(&mut self, now: Instant, key: CallerKey, point: Point, held: BytesMut) {
         self.metrics.acknowledged.inc();
         let Some(caller) = self.callers.get_mut(key) else {
             return;
@@ -392,6 +397,8 @@
         }
         caller.out.extend_from_slice(ready);
         caller.state = State::Idle;
+        let database = caller.database.clone();
+        self.report_if_held(now, &database);
         self.dirty_callers.push(key);
         self.ready.push(key);
     }
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -5,8 +5,10 @@
 
 use ahash::HashMap;
 use anyhow::{Context, Result, ensure};
-use catalog::{Catalog, Command};
+use catalog::{Catalog, Command, Phase};
+use lease::allowance::Allowance;
 use lease::hold::Lease;
+use lease::quota::Quota;
 use tokio::sync::mpsc;
 use types::{Name, Revision, Term};
 use wire::{Down, Up};
@@ -56,6 +58,8 @@
     pub announcements: Vec<wire::Announcement>,
     /// Whether every target's connections are within its quota.
     pub within_quotas: bool,
+    /// Databases with transactions or writes that were begun before a hold and have not ended.
+    pub unfinished: Vec<Name>,
 }
 
 /// Lease, quotas and catalog of an entry.
@@ -75,10 +79,12 @@
     lease: Lease,
     ttl: Duration,
     catalog: Option<Catalog>,
-    /// Quotas of the last grant; a target that is not named has its floor.
-    quotas: HashMap<Name, u32>,
-    granted: u64,
-    confirmed: u64,
+    allowance: Allowance,
+    /// Revision of the last renewal: nothing is acknowledged any more under an older catalog.
+    reported: Revision,
+    /// End of the lease as it was when a hold of a database was learnt of. Later grants count as
+    /// granted under the hold and so do not allow what was begun before it.
+    holds: HashMap<Name, Option<Instant>>,
 }
 
 impl Control {
@@ -103,9 +109,9 @@
             lease: Lease::default(),
             ttl: Duration::from_secs(1),
             catalog: None,
-            quotas: HashMap::default(),
-            granted: 0,
-            confirmed: 0,
+            allowance: Allowance::default(),
+            reported: Revision(0),
+            holds: HashMap::default(),
         }
     }
 
@@ -139,12 +145,21 @@
         if !self.lease.valid(now) {
             return Err("lease");
         }
-        let database = self
+        let found = self
             .catalog
             .as_ref()
             .and_then(|c| c.database(database.as_str()));
-        match database.and_then(catalog::Database::writable) {
-            Some((_, writable)) if writable == term => Ok(()),
+        let Some(found) = found else {
+            return Err("term");
+        };
+        match (found.phase(), found.writable()) {
+            (_, Some((_, writable))) if writable == term => Ok(()),
+            // What was begun before a planned switch ends under the old term.
+            (Phase::Fenced { hold: true, .. }, _) if found.term() == Some(term) => {
+                let end = self.holds.get(database).copied().flatten();
+                let open = self.reported < found.since() && end.is_some_and(|end| now < end);
+                if open { Ok(()) } else { Err("term") }
+            }
             _ => Err("term"),
         }
     }
@@ -160,13 +175,25 @@
             .is_some_and(|c| c.is_enrolled(self.instance.as_str()));
         if !enrolled {
             0
-        } else if self.lease.valid(now) {
-            self.quotas.get(target).copied().unwrap_or(floor)
         } else {
-            floor
+            self.allowance.allowed(now, target.as_str(), floor)
         }
     }
 
+    /// Connections to a target that may still be open: those beyond are closed at once, whatever
+    /// runs on them, as control may have given their number to another entry.
+    #[must_use]
+    pub fn most(&self, now: Instant, target: &Name, floor: u32) -> u32 {
+        let most = self.allowance.most(now, target.as_str(), floor);
+        self.quota(now, target, floor).max(most)
+    }
+
+    /// When [`Self::most`] changes next without a new grant.
+    #[must_use]
+    pub fn allowance_deadline(&self, now: Instant) -> Option<Instant> {
+        self.allowance.deadline(now)
+    }
+
     /// When a dial, a renewal or the end of a silent stream is due next.
     #[must_use]
     pub fn deadline(&self) -> Option<Instant> {
@@ -244,9 +271,10 @@
     /// Sends a renewal.
     pub fn renew(&mut self, now: Instant, report: Report) {
         if report.within_quotas {
-            self.confirmed = self.granted;
+            self.allowance.on_closed();
         }
-        let revision = self.revision().0;
+        self.reported = self.reported.max(self.settled(&report.unfinished));
+        let (revision, confirmed) = (self.reported.0, self.allowance.confirmed(now));
         let age_ms = u64::try_from((now - self.started).as_millis()).unwrap_or(u64::MAX);
         let State::Up { out, renew_at, .. } = &mut self.state else {
             return;
@@ -256,7 +284,7 @@
             seq: self.lease.on_send(now),
             age_ms,
             revision,
-            confirmed: self.confirmed,
+            confirmed,
             demand: report.demand,
             health: report.health,
             announcements: report.announcements,
@@ -265,6 +293,21 @@
         let _unsent = out.try_send(renewal);
     }
 
+    /// Latest revision under which nothing older goes on: that before the first hold of a database
+    /// that still has something unfinished.
+    fn settled(&self, unfinished: &[Name]) -> Revision {
+        let Some(catalog) = &self.catalog else {
+            return Revision(0);
+        };
+        let held = |name: &Name| {
+            let database = catalog.database(name.as_str())?;
+            let held = matches!(database.phase(), Phase::Fenced { hold: true, .. });
+            held.then(|| Revision(database.since().0.saturating_sub(1)))
+        };
+        let first = unfinished.iter().filter_map(held).min();
+        first.unwrap_or(catalog.revision())
+    }
+
     /// Gives the lease up and says so. Nothing may be acknowledged afterwards.
     pub fn end(&mut self) {
         self.lease.end();
@@ -301,6 +344,14 @@
                     "an update of the past"
                 );
                 catalog.apply(Revision(revision), &command);
+                if let Command::Fence {
+                    database,
+                    hold: true,
+                    ..
+                } = command
+                {
+                    self.holds.insert(database, self.lease.deadline());
+                }
                 // The fence of a change of primary ends when every entry has confirmed it.
                 self.hasten(now);
                 Ok(Change::Catalog)
@@ -336,16 +387,21 @@
         quotas: Vec<wire::Quota>,
     ) -> Result<Change> {
         let ttl = Duration::from_millis(ttl_ms.into());
-        if !self.lease.on_grant(seq, ttl, revision, self.revision()) {
+        let deadline = self.lease.on_grant(seq, ttl, revision, self.revision());
+        let Some(deadline) = deadline else {
             return Ok(Change::None);
-        }
+        };
         self.ttl = ttl;
-        self.granted = seq;
-        self.quotas.clear();
-        for quota in quotas {
-            self.quotas
-                .insert(Name::try_from(quota.target)?, quota.connections);
-        }
+        let quota = |raw: wire::Quota| {
+            let target = Name::try_from(raw.target)?;
+            let connections = raw.connections;
+            Ok(Quota {
+                target,
+                connections,
+            })
+        };
+        let quotas = quotas.into_iter().map(quota).collect::<Result<Vec<_>>>()?;
+        self.allowance.on_grant(seq, deadline, &quotas);
         if let State::Up { silent_at, .. } = &mut self.state {
             *silent_at = now + ttl;
         }
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -220,7 +220,10 @@
             server.pool.on_demand(waiting, now, &mut actions);
         }
         let due = [server.queue.deadline(), server.pool.deadline(now)];
-        if let Some(at) = due.into_iter().flatten().min() {
+        if let Some(at) = due.into_iter().flatten().min()
+            && server.due_at.is_none_or(|due_at| at < due_at)
+        {
+            server.due_at = Some(at);
             self.timers.add(at, Due::Queue(index));
         }
         self.act_on_pool(now, index, actions);
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -109,6 +109,58 @@
                 .map(|(announcement, _)| announcement.into())
                 .collect(),
             within_quotas: known().all(|server| server.pool.count().total() <= server.pool.quota()),
+            unfinished: self.unfinished(),
+        }
+    }
+
+    /// Databases with a write under way or a transaction that may write, and a hold.
+    fn unfinished(&self) -> Vec<Name> {
+        let open = self.callers.values().filter(|caller| {
+            let transaction = caller.transaction.is_some_and(|open| !open.read_only);
+            let running = matches!(caller.state, State::Running(_) | State::Acknowledging);
+            (transaction && caller.bound.is_some()) || running
+        });
+        let names = open.map(|caller| &caller.database);
+        let mut names: Vec<Name> = names.filter(|name| self.is_held(name)).cloned().collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
+    fn is_held(&self, name: &Name) -> bool {
+        let database = self.databases.get(name);
+        database.is_some_and(|d| matches!(d.phase, route::Phase::Fenced { hold: Some(_) }))
+    }
+
+    /// Tells control at once when the last transaction before a hold may have ended.
+    pub(crate) fn report_if_held(&mut self, now: Instant, name: &Name) {
+        if self.is_held(name) {
+            self.control.hasten(now);
+        }
+    }
+
+    /// Closes connections that the entry may not have any more, whatever runs on them.
+    fn enforce_quotas(&mut self, now: Instant) {
+        let Some(catalog) = self.control.catalog() else {
+            return;
+        };
+        let mut surplus = Vec::new();
+        for server in self.servers.iter().filter(|server| server.known) {
+            let target = catalog.target(server.name.as_str());
+            let floor = target.map_or(0, |target| target.values().connections_floor);
+            // One of them is the watch's.
+            let most = self
+                .control
+                .most(now, &server.name, floor)
+                .saturating_sub(1);
+            surplus.extend(server.conns.values().skip(most as usize).copied());
+        }
+        for key in surplus {
+            self.metrics.target_failures.add("quota");
+            self.on_conn_lost(now, key);
+        }
+        if let Some(at) = self.control.allowance_deadline(now) {
+            self.timers.add(at, Due::Quotas);
         }
     }
 
@@ -145,6 +197,7 @@
         for key in unwatched {
             self.drop_conn(now, key);
         }
+        self.enforce_quotas(now);
     }
 
     /// Follows a change of the catalog.
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -19,9 +19,14 @@
         while let Some(due) = self.timers.pop(now) {
             match due {
                 Due::Watch(index) => self.on_watch_due(now, index),
-                Due::Queue(index) => self.pumped.push(index),
+                Due::Queue(index) => {
+                    self.servers[index].due_at = None;
+                    self.pumped.push(index);
+                }
                 Due::Routing(name) => self.reroute(now, &name),
                 Due::Acks(name) => self.on_acks(now, &name),
+                Due::Quotas => self.on_quotas(now),
+                Due::Silence(index) => self.on_silence_due(now, index),
             }
         }
         let ended = self
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -143,6 +143,9 @@
     pub queue: Queue,
     /// Service times by shape.
     pub shapes: shape::Table,
+    /// When the queue and the connections are looked at next without an event. One timer for both,
+    /// since one for each statement would stay until the idle deadline of its connection.
+    pub due_at: Option<Instant>,
     /// Callers of waiting statements.
     pub tickets: HashMap<Ticket, CallerKey>,
     /// Connections by their id in the pool.
@@ -174,6 +177,7 @@
             pool: Pool::new(limits),
             queue: Queue::new(queue_limits(1, 1, 1)),
             shapes: shape::Table::default(),
+            due_at: None,
             tickets: HashMap::default(),
             conns: HashMap::default(),
             watch: Watch {
--- a/components/entry/src/timer.rs
+++ b/components/entry/src/timer.rs
@@ -12,12 +12,16 @@
 pub enum Due {
     /// The watch of a target.
     Watch(usize),
+    /// The silence of a watched target, which control is told of at once.
+    Silence(usize),
     /// The queue and the connections of a target.
     Queue(usize),
     /// Statements of a database that wait for a target.
     Routing(Name),
     /// Writes of a database that wait for replicas.
     Acks(Name),
+    /// Connections beyond the quotas.
+    Quotas,
 }
 
 /// Deadlines, the next first.
--- a/components/entry/src/watch.rs
+++ b/components/entry/src/watch.rs
@@ -1,6 +1,6 @@
 //! Watches: what each target says of its role and position.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Buf as _, BytesMut};
 use pg::Frames;
@@ -113,6 +113,9 @@
         server.watch.advanced = server.point() != Some(answer.point);
         server.watch.last = Some((answer.role, observed));
         server.watch.answered_at = now;
+        // Just past the limit, as control compares in milliseconds.
+        let silent_at = now + detect.unwrap_or_default() + Duration::from_millis(2);
+        self.timers.add(silent_at, Due::Silence(index));
         let name = server.database.clone();
         if was_silent {
             self.control.hasten(now);
@@ -176,6 +179,18 @@
         }
     }
 
+    /// Reports a target's silence as soon as it counts as failure, not only with the next renewal.
+    pub(crate) fn on_silence_due(&mut self, now: Instant, index: usize) {
+        let server = &self.servers[index];
+        let Some(database) = self.databases.get(&server.database) else {
+            return;
+        };
+        let silent_at = server.watch.answered_at + database.settings.detect;
+        if server.watch.last.is_some() && now > silent_at {
+            self.control.hasten(now);
+        }
+    }
+
     pub(crate) fn on_watch_lost(&mut self, now: Instant, index: usize) {
         let watch = &mut self.servers[index].watch;
         watch.conn = None;
