Serve the administration API from control

Reads go through the log's linearizable read, changes through proposals. Outcomes become replies in api/reply.rs; an accepted change waits up to 1 s for the entries with a lease, so that the answer names those that are cut off. Introductions carry the HTTP address for redirects. Renewals keep the latest position of each target for the status. The organisation is a setting.

--- a/components/consensus/src/view.rs
+++ b/components/consensus/src/view.rs
@@ -59,6 +59,26 @@
         self.log.members()
     }
 
+    /// Last index that is known to be on a member's disk; none unless this node leads.
+    #[must_use]
+    pub fn matched(&self, member: &Member) -> Option<u64> {
+        let State::Leader(lead) = &self.state else {
+            return None;
+        };
+        if member.instance == self.me.instance && member.disk == self.me.disk {
+            return Some(self.log.durable);
+        }
+        let peer = lead.peers.get(&member.instance);
+        peer.filter(|peer| peer.disk == member.disk)
+            .map(|peer| peer.matched)
+    }
+
+    /// Index of the member list in force.
+    #[must_use]
+    pub fn members_index(&self) -> u64 {
+        self.log.members_index()
+    }
+
     /// Last snapshot; position 0 if there is none.
     #[must_use]
     pub fn snapshot(&self) -> &Snapshot {
--- a/components/control/src/convert.rs
+++ b/components/control/src/convert.rs
@@ -1,5 +1,7 @@
 //! Messages of the replicated log to and from their wire types.
 
+use std::net::SocketAddr;
+
 use anyhow::{Context, Error, Result};
 use consensus::{Body, Disk, Entry, Epoch, Identity, Member, Payload, Peer, Position, Seat};
 use types::Name;
@@ -24,6 +26,8 @@
     pub address: String,
     /// Its disk holds no log yet.
     pub blank: bool,
+    /// Address of its administration API.
+    pub http: SocketAddr,
 }
 
 /// A message of this instance.
@@ -48,6 +52,7 @@
             version: hello.version,
             address: hello.address.clone(),
             blank: hello.blank,
+            http: hello.http.to_string(),
         },
     }
 }
@@ -143,6 +148,7 @@
             version,
             address,
             blank,
+            http,
         } = raw.body
         {
             return Ok(Self::Hello(Hello {
@@ -150,6 +156,7 @@
                 version,
                 address,
                 blank,
+                http: http.parse().context("HTTP address of an introduction")?,
             }));
         }
         Ok(Self::Peer(Peer {
--- a/components/control/src/entries.rs
+++ b/components/control/src/entries.rs
@@ -63,19 +63,13 @@
 
     /// Number of entries that get every command.
     #[must_use]
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.streams
             .values()
             .filter(|stream| stream.peer.is_some())
             .count()
     }
 
-    /// Whether no entry is connected.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     /// Sends a message; gives the stream up if it takes none.
     pub fn send(&mut self, id: StreamId, message: Down) {
         let failed = self
--- a/components/control/src/join.rs
+++ b/components/control/src/join.rs
@@ -24,7 +24,13 @@
             .iter()
             .find(|m| m.instance == self.settings.instance);
         let address = own.map_or(self.settings.link, |member| member.address);
+        let mut http = self.settings.http;
+        if http.ip().is_unspecified() {
+            // A wildcard can't be dialled; the address that the members use is one of this host.
+            http.set_ip(address.ip());
+        }
         Hello {
+            http,
             identity: self.node.identity().clone(),
             version: wire::VERSION,
             address: address.to_string(),
--- a/components/control/src/lead.rs
+++ b/components/control/src/lead.rs
@@ -9,7 +9,7 @@
 use lease::grant::{Renewal, Table};
 use lease::quota::{Answer, Quota, Split};
 use types::target::Announcement;
-use types::{Name, Revision};
+use types::{Name, Point, Revision};
 
 /// Interval of the steps of a database that is changing its primary.
 const ACTIVE: Duration = Duration::from_millis(20);
@@ -29,8 +29,38 @@
     pub confirmed: u64,
     /// Connections that it wants.
     pub demand: Vec<(Name, u32)>,
-    /// Time since the last answer of each target that it watches.
-    pub silence: Vec<(Name, Duration)>,
+    /// Targets that it watches.
+    pub health: Vec<Report>,
+}
+
+/// What a watcher says of a target.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// The target.
+    pub target: Name,
+    /// Position of its last answer.
+    pub point: Point,
+    /// Time since that answer.
+    pub silent: Duration,
+}
+
+/// Latest answer that any watcher had of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Observed {
+    /// Its position.
+    pub point: Point,
+    /// When it answered, by the leader's clock.
+    pub answered: Instant,
+}
+
+/// An entry that got a lease of this leader.
+#[derive(Clone, Copy, Debug)]
+pub struct Holder {
+    boot: u64,
+    /// Revision that it has confirmed.
+    pub revision: Revision,
+    /// End of its lease by the leader's clock.
+    pub deadline: Instant,
 }
 
 /// What a renewal is answered with.
@@ -48,6 +78,10 @@
     grants: Table,
     split: Split,
     watches: BTreeMap<Name, Watch>,
+    /// Latest positions, for operators.
+    observed: BTreeMap<Name, Observed>,
+    /// Entries with a lease of this leader, for operators and for answers to their changes.
+    holders: BTreeMap<Name, Holder>,
     machines: BTreeMap<Name, Machine>,
     /// Databases with a change under way.
     active: BTreeSet<Name>,
@@ -72,6 +106,8 @@
             grants,
             split,
             watches: BTreeMap::new(),
+            observed: BTreeMap::new(),
+            holders: BTreeMap::new(),
             machines: BTreeMap::new(),
             active: BTreeSet::new(),
             active_at: now,
@@ -116,6 +152,7 @@
     pub fn on_dismissed(&mut self, instance: &Name) {
         self.grants.dismiss(instance.as_str());
         self.split.dismiss(instance.as_str());
+        self.holders.remove(instance);
         for watch in self.watches.values_mut() {
             watch.forget(instance.as_str());
         }
@@ -125,6 +162,7 @@
     pub fn on_retired(&mut self, target: &Name) {
         self.split.forget(target.as_str());
         self.watches.remove(target);
+        self.observed.remove(target);
     }
 
     /// Leases.
@@ -133,9 +171,38 @@
         &self.grants
     }
 
-    /// Leases, for dismissals and ends.
-    pub fn grants_mut(&mut self) -> &mut Table {
-        &mut self.grants
+    /// A start of an entry has ended: it said so as it stopped.
+    pub fn end(&mut self, instance: &str, boot: u64) {
+        self.grants.end(instance, boot);
+        if self.holder(instance).is_some_and(|h| h.boot == boot) {
+            self.holders.remove(instance);
+        }
+    }
+
+    /// An entry that got a lease of this leader, which may have ended since.
+    #[must_use]
+    pub fn holder(&self, instance: &str) -> Option<&Holder> {
+        self.holders.get(instance)
+    }
+
+    /// Latest answer of a target.
+    #[must_use]
+    pub fn observed(&self, target: &str) -> Option<&Observed> {
+        self.observed.get(target)
+    }
+
+    /// Whether an entry has a lease and has confirmed `revision`.
+    #[must_use]
+    pub fn has(&self, now: Instant, instance: &str, revision: Revision) -> bool {
+        self.holder(instance)
+            .is_some_and(|h| h.deadline > now && h.revision >= revision)
+    }
+
+    /// Whether any entry with a lease has yet to confirm `revision`.
+    #[must_use]
+    pub fn is_awaited(&self, now: Instant, revision: Revision) -> bool {
+        let mut holders = self.holders.values();
+        holders.any(|h| h.deadline > now && h.revision < revision)
     }
 
     /// Whether the enrolment of an entry has to be proposed now.
@@ -179,13 +246,10 @@
         if !self.grants.renew(now, &renewal) {
             return None;
         }
-        for (target, silent) in &renewed.silence {
-            if catalog.target(target.as_str()).is_some() {
-                self.watches
-                    .entry(target.clone())
-                    .or_default()
-                    .on_report(now, instance, *silent);
-                self.wake(target, *silent, catalog);
+        for report in &renewed.health {
+            if catalog.target(report.target.as_str()).is_some() {
+                self.observe(now, instance, report);
+                self.wake(&report.target, report.silent, catalog);
             }
         }
         self.split
@@ -193,6 +257,12 @@
         let (ttl, deadline) =
             self.grants
                 .grant(now, instance.as_str(), boot, catalog.revision())?;
+        let holder = Holder {
+            boot,
+            revision: renewed.revision,
+            deadline,
+        };
+        self.holders.insert(instance.clone(), holder);
         let mut quotas = Vec::new();
         let answer = Answer {
             instance,
@@ -204,6 +274,23 @@
         Some(Granted { ttl, quotas })
     }
 
+    fn observe(&mut self, now: Instant, watcher: &Name, report: &Report) {
+        let watch = self.watches.entry(report.target.clone()).or_default();
+        watch.on_report(now, watcher, report.silent);
+        let Some(answered) = now.checked_sub(report.silent) else {
+            return;
+        };
+        let observed = Observed {
+            point: report.point,
+            answered,
+        };
+        let known = self.observed.entry(report.target.clone());
+        let known = known.or_insert(observed);
+        if answered >= known.answered {
+            *known = observed;
+        }
+    }
+
     /// Looks at a database at once if its primary is silent, and at those that wait for entries.
     fn wake(&mut self, target: &Name, silent: Duration, catalog: &Catalog) {
         let Some(target) = catalog.target(target.as_str()) else {
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -2,12 +2,12 @@
 //! and changes of primary.
 
 mod act;
-mod api;
+pub mod api;
 mod convert;
 mod entries;
 mod event;
 mod join;
-mod lead;
+pub mod lead;
 mod log;
 mod members;
 mod metrics;
--- a/components/control/src/log.rs
+++ b/components/control/src/log.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, Result};
 use catalog::{Catalog, Command};
-use consensus::{Action, Entry, Epoch, Identity, Payload, Role};
+use consensus::{Action, Entry, Epoch, Identity, Payload, Position, Role};
 use disk::{Native, Wal};
 use types::{Name, Revision};
 
@@ -64,7 +64,7 @@
                     role,
                     epoch,
                     leader,
-                } => self.on_role(role, epoch, leader.as_ref()),
+                } => self.on_role(now, role, epoch, leader.as_ref()),
                 Action::Learner {
                     instance,
                     ready: true,
@@ -98,7 +98,7 @@
         self.drive(now, actions)
     }
 
-    fn on_role(&mut self, role: Role, epoch: Epoch, leader: Option<&Name>) {
+    fn on_role(&mut self, now: Instant, role: Role, epoch: Epoch, leader: Option<&Name>) {
         tracing::info!(
             ?role,
             epoch = epoch.0,
@@ -107,6 +107,7 @@
         );
         self.metrics.leader.set((role == Role::Leader).into());
         if role != Role::Leader {
+            self.end_confirmations(now);
             self.lead = None;
             // Entries dial the leader.
             self.streams.close_all();
@@ -118,8 +119,7 @@
 
     fn lose(&mut self, waiter: Waiter) {
         if let Waiter::Reply(pending) = waiter {
-            self.metrics.common.refusals.add("no_quorum");
-            pending.lost();
+            self.lose_change(pending);
         }
     }
 
@@ -145,12 +145,10 @@
                 }
             }
             Payload::Members(_) => self.keep_peers(now),
-            Payload::Data(data) => self.apply(now, index, data)?,
+            Payload::Data(data) => self.apply(now, entry.position, data)?,
         }
-        if let Some((epoch, waiter)) = self.waiting.remove(&index)
-            && epoch != entry.position.epoch
-        {
-            self.lose(waiter);
+        if let Some(Waiter::Reply(pending)) = self.take_waiter(entry.position) {
+            self.answer_members(pending, index);
         }
         if index >= self.compacted + SNAPSHOT_EVERY {
             self.compact(now)?;
@@ -158,7 +156,18 @@
         Ok(())
     }
 
-    fn apply(&mut self, now: Instant, index: u64, data: &[u8]) -> Result<()> {
+    /// Who waits for the entry at a position. Whoever proposed another one there has lost it.
+    fn take_waiter(&mut self, position: Position) -> Option<Waiter> {
+        let (epoch, waiter) = self.waiting.remove(&position.index)?;
+        if epoch == position.epoch {
+            return Some(waiter);
+        }
+        self.lose(waiter);
+        None
+    }
+
+    fn apply(&mut self, now: Instant, position: Position, data: &[u8]) -> Result<()> {
+        let index = position.index;
         // A command that this build can't read was committed by another version: going on would
         // give this instance another catalog.
         let raw: wire::Command = wire::decode(data).context("committed command")?;
@@ -175,9 +184,9 @@
                 _ => {}
             }
         }
-        match self.waiting.remove(&index) {
-            Some((_, Waiter::Reply(pending))) => self.answer_change(now, pending, outcome),
-            Some((_, Waiter::Machine(database))) => {
+        match self.take_waiter(position) {
+            Some(Waiter::Reply(pending)) => self.answer_change(now, pending, &command, &outcome),
+            Some(Waiter::Machine(database)) => {
                 let mut actions = Vec::new();
                 if let Some(machine) = self.lead.as_mut().and_then(|lead| lead.machine(&database)) {
                     machine.on_outcome(&outcome, &self.catalog, &mut actions);
@@ -188,7 +197,7 @@
                     .collect();
                 self.act(now, actions)?;
             }
-            Some((_, Waiter::None)) | None => {}
+            Some(Waiter::None) | None => {}
         }
         self.step(now)
     }
--- a/components/control/src/members.rs
+++ b/components/control/src/members.rs
@@ -20,6 +20,12 @@
         self.heard.insert(hello.identity.instance.clone(), hello);
     }
 
+    /// The latest introduction of an instance.
+    #[must_use]
+    pub fn of(&self, instance: &str) -> Option<&Hello> {
+        self.heard.get(instance)
+    }
+
     /// The first member list, once every configured instance is known to be blank.
     ///
     /// A single instance with a log means that the cluster exists: this disk is a new or emptied
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -6,7 +6,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 
 /// Reasons of the counter `refusals`.
-const REFUSALS: [&str; 9] = [
+const REFUSALS: [&str; 14] = [
     "not_leader",
     "no_quorum",
     "not_ready",
@@ -14,6 +14,11 @@
     "invalid",
     "version",
     "conflict",
+    "findings",
+    "refused",
+    "unknown",
+    "not_found",
+    "bad_method",
     "unauthorized",
     "stranger",
 ];
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, ensure};
 use catalog::Catalog;
 use consensus::{Epoch, Identity, Node};
 use disk::{Native, Wal};
@@ -30,8 +30,6 @@
 const ENTRY_OUT: usize = 8192;
 /// Interval of introductions while the first member list is not complete.
 const GREETING: Duration = Duration::from_millis(200);
-/// First name of every settings path.
-const ORGANISATION: &str = "organisation";
 
 /// Who waits for a proposal.
 #[derive(Debug)]
@@ -61,6 +59,8 @@
     pub(crate) waiting: BTreeMap<u64, (Epoch, Waiter)>,
     pub(crate) reads: BTreeMap<u64, api::Read>,
     pub(crate) next_read: u64,
+    /// Accepted changes that wait for entries. Bounded by the connections of the endpoint.
+    pub(crate) confirming: Vec<api::Confirming>,
     pub(crate) metrics: Set,
     pub(crate) applied: u64,
     pub(crate) compacted: u64,
@@ -153,11 +153,17 @@
             instance: settings.instance.clone(),
             disk: opened.disk,
         };
-        let organisation = Name::try_from(ORGANISATION)?;
         let catalog = match &*opened.saved.snapshot.data {
-            [] => Catalog::new(organisation),
+            [] => Catalog::new(settings.organisation.clone()),
             bytes => Catalog::decode(bytes).context("catalog of the snapshot")?,
         };
+        // Instances that differ in it would refuse different commands and so hold unequal catalogs.
+        ensure!(
+            *catalog.organisation() == settings.organisation,
+            "the data folder is of organisation {}, the settings name {}",
+            catalog.organisation(),
+            settings.organisation
+        );
         let applied = opened.saved.snapshot.position.index;
         let node = Node::new(
             now,
@@ -180,6 +186,7 @@
             waiting: BTreeMap::new(),
             reads: BTreeMap::new(),
             next_read: 0,
+            confirming: Vec::new(),
             metrics: Set::new(),
             applied,
             compacted: applied,
@@ -218,6 +225,7 @@
             self.node.deadline(),
             self.peers.deadline(),
             self.lead.as_ref().map(Lead::deadline),
+            self.confirm_at(),
             Some(self.greeting_at),
         ];
         due.into_iter().flatten().min().unwrap_or(self.greeting_at)
@@ -299,12 +307,13 @@
             lead.on_tick(now, false, &self.catalog, &mut due);
         }
         self.act(now, due)?;
+        self.confirm(now);
         self.metrics
             .revision
             .set(i64::try_from(self.catalog.revision().0).unwrap_or(i64::MAX));
         self.metrics
             .entries
-            .set(i64::try_from(self.streams.len()).unwrap_or(i64::MAX));
+            .set(i64::try_from(self.streams.count()).unwrap_or(i64::MAX));
         Ok(())
     }
 
--- a/components/control/src/renewal.rs
+++ b/components/control/src/renewal.rs
@@ -7,7 +7,7 @@
 use types::{Name, Revision};
 use wire::{Demand, Health, Up};
 
-use crate::lead::Renewed;
+use crate::lead::{Renewed, Report};
 
 /// Targets that one renewal may name.
 const MAX_TARGETS: usize = 20_000;
@@ -48,9 +48,9 @@
                 .into_iter()
                 .map(checked_demand)
                 .collect::<Result<_>>()?,
-            silence: health
+            health: health
                 .into_iter()
-                .map(checked_silence)
+                .map(checked_health)
                 .collect::<Result<_>>()?,
         };
         let announcements = announcements
@@ -71,7 +71,10 @@
     ))
 }
 
-fn checked_silence(raw: Health) -> Result<(Name, Duration)> {
-    let silent = Duration::from_millis(raw.silent_ms.into());
-    Ok((Name::try_from(raw.target).context("health")?, silent))
+fn checked_health(raw: Health) -> Result<Report> {
+    Ok(Report {
+        target: Name::try_from(raw.target).context("health")?,
+        point: raw.point.into(),
+        silent: Duration::from_millis(raw.silent_ms.into()),
+    })
 }
--- a/components/control/src/serve.rs
+++ b/components/control/src/serve.rs
@@ -45,7 +45,7 @@
             wire::Up::Bye => {
                 let ended = self.streams.peer(id).cloned();
                 if let (Some(peer), Some(lead)) = (ended, &mut self.lead) {
-                    lead.grants_mut().end(peer.instance.as_str(), peer.boot);
+                    lead.end(peer.instance.as_str(), peer.boot);
                 }
                 self.step(now)
             }
@@ -142,6 +142,7 @@
                 }
             }
         }
+        self.confirm(now);
         self.step(now)
     }
 }
--- a/components/settings/src/control.rs
+++ b/components/settings/src/control.rs
@@ -17,6 +17,8 @@
 pub struct Control {
     /// Name of this instance.
     pub instance: Name,
+    /// First name of every path of the settings tree.
+    pub organisation: Name,
     /// Failure domain of this instance.
     pub domain: Name,
     /// Folder of the log and the snapshots.
@@ -79,6 +81,7 @@
     fn try_from(raw: raw::Control) -> Result<Self, Invalid> {
         Ok(Self {
             instance: convert("/instance", raw.instance.as_str())?,
+            organisation: convert("/organisation", raw.organisation.as_str())?,
             domain: convert("/domain", raw.domain.as_str())?,
             data: String::from(raw.data).into(),
             link: address("/link", &raw.link)?,
--- a/components/settings/tests/load.rs
+++ b/components/settings/tests/load.rs
@@ -47,6 +47,7 @@
     assert_eq!(control.members[1].address, "[::1]:7200".parse().unwrap());
     assert_eq!(control.log.format, Format::Json);
     assert_eq!(control.target_user, "limpettally");
+    assert_eq!(control.organisation.as_str(), "organisation");
 
     let standin: Standin = load(&file("standin.json")).unwrap();
     assert_eq!(standin.statement, Duration::from_micros(250));
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -214,7 +214,7 @@
         done: bool,
     },
     SnapshotReply { offset: u64 },
-    Hello { version: u32, address: String, blank: bool },
+    Hello { version: u32, address: String, blank: bool, http: String },
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Quota {
