Found a cluster although one instance goes ahead

An instance that had heard the others made the first member list at once.

An instance now goes ahead only when its streams to all others are open, hence its blank introduction is on the way, and a disk that was heard as blank stays a founder although its later introductions say otherwise.

--- a/components/control/src/join.rs
+++ b/components/control/src/join.rs
@@ -39,7 +39,9 @@
     }
 
     pub(crate) fn found(&mut self, now: Instant) -> Result<()> {
-        if !self.is_blank() {
+        // An instance that hears of this one only after the list was made would take it for a member
+        // of an older cluster and wait to be let in.
+        if !self.is_blank() || !self.peers.is_complete() {
             return Ok(());
         }
         let founders = self
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -3,13 +3,13 @@
 
 mod act;
 pub mod api;
-mod convert;
+pub mod convert;
 mod entries;
 mod event;
 mod join;
 pub mod lead;
 mod log;
-mod members;
+pub mod members;
 mod metrics;
 mod peers;
 mod process;
--- a/components/control/src/members.rs
+++ b/components/control/src/members.rs
@@ -8,22 +8,35 @@
 
 use crate::convert::Hello;
 
+#[derive(Debug)]
+struct Introduction {
+    hello: Hello,
+    /// The same disk was blank in this or an earlier introduction.
+    founder: bool,
+}
+
 /// Latest introduction of each other instance.
 #[derive(Debug, Default)]
 pub struct Introductions {
-    heard: BTreeMap<Name, Hello>,
+    heard: BTreeMap<Name, Introduction>,
 }
 
 impl Introductions {
-    /// Takes an introduction.
+    /// Takes an introduction. A disk that was blank stays so for [`Self::founders`]: once all
+    /// founders are known to each other, the first of them to go ahead is blank no longer, and the
+    /// others have to make the same list.
     pub fn hear(&mut self, hello: Hello) {
-        self.heard.insert(hello.identity.instance.clone(), hello);
+        let instance = hello.identity.instance.clone();
+        let known = self.heard.get(&instance);
+        let was_blank = known.is_some_and(|it| it.founder && it.hello.identity == hello.identity);
+        let founder = hello.blank || was_blank;
+        self.heard.insert(instance, Introduction { hello, founder });
     }
 
     /// The latest introduction of an instance.
     #[must_use]
     pub fn of(&self, instance: &str) -> Option<&Hello> {
-        self.heard.get(instance)
+        self.heard.get(instance).map(|it| &it.hello)
     }
 
     /// The first member list, once every configured instance is known to be blank.
@@ -38,7 +51,8 @@
             } else {
                 self.heard
                     .get(&configured.instance)
-                    .filter(|hello| hello.blank)?
+                    .filter(|it| it.founder)?
+                    .hello
                     .identity
                     .disk
             };
@@ -58,7 +72,7 @@
     /// A change that lets an instance of the member list join with its new disk.
     #[must_use]
     pub fn returning(&self, members: &[Member]) -> Option<Change> {
-        self.heard.values().find_map(|hello| {
+        self.heard.values().find_map(|Introduction { hello, .. }| {
             let listed = members
                 .iter()
                 .any(|m| m.instance == hello.identity.instance);
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -108,6 +108,13 @@
         }
     }
 
+    /// Whether every stream is open, so that every instance was introduced to.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        let mut streams = self.streams.values();
+        streams.all(|stream| matches!(stream.state, State::Up(_)))
+    }
+
     /// Sends a message, or drops it if the stream is not open.
     pub fn send(&self, name: &Name, message: wire::Peer) {
         if let Some(Stream {
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -233,7 +233,10 @@
 
     fn on_event(&mut self, now: Instant, event: Event) -> Result<()> {
         match event {
-            Event::PeerOpen(name, out) => self.peers.on_open(&name, out, &self.hello()),
+            Event::PeerOpen(name, out) => {
+                self.peers.on_open(&name, out, &self.hello());
+                self.found(now)?;
+            }
             Event::PeerClosed(name) => self.peers.on_closed(now, &name),
             Event::Peer(message) => self.on_peer(now, message)?,
             Event::EntryOpen(id, out) => self.streams.open(id, out),
