Name cut-off entries in a process test

A refused retirement made the leader forget the target's quotas, since the command was taken for an applied one; the catalog decides now. Free ports of the process tests came from the range of outgoing connections, so that 1 of 8 clusters of a run met a port in use; they now lie below it.

--- a/components/control/src/lead.rs
+++ b/components/control/src/lead.rs
@@ -158,8 +158,11 @@
         }
     }
 
-    /// A target was retired.
-    pub fn on_retired(&mut self, target: &Name) {
+    /// A command to retire a target was applied; the catalog may have refused it.
+    pub fn on_retired(&mut self, target: &Name, catalog: &Catalog) {
+        if catalog.target(target.as_str()).is_some() {
+            return;
+        }
         self.split.forget(target.as_str());
         self.watches.remove(target);
         self.observed.remove(target);
@@ -262,7 +265,12 @@
             revision: renewed.revision,
             deadline,
         };
-        self.holders.insert(instance.clone(), holder);
+        match self.holders.get_mut(instance) {
+            Some(known) => *known = holder,
+            None => {
+                self.holders.insert(instance.clone(), holder);
+            }
+        }
         let mut quotas = Vec::new();
         let answer = Answer {
             instance,
@@ -284,10 +292,12 @@
             point: report.point,
             answered,
         };
-        let known = self.observed.entry(report.target.clone());
-        let known = known.or_insert(observed);
-        if answered >= known.answered {
-            *known = observed;
+        match self.observed.get_mut(&report.target) {
+            Some(known) if answered >= known.answered => *known = observed,
+            Some(_) => {}
+            None => {
+                self.observed.insert(report.target.clone(), observed);
+            }
         }
     }
 
--- a/components/control/src/log.rs
+++ b/components/control/src/log.rs
@@ -179,7 +179,7 @@
         if let Some(lead) = &mut self.lead {
             lead.on_catalog(&self.catalog);
             match &command {
-                Command::Retire { target } => lead.on_retired(target),
+                Command::Retire { target } => lead.on_retired(target, &self.catalog),
                 Command::Dismiss { instance } => lead.on_dismissed(instance),
                 _ => {}
             }
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -59,7 +59,7 @@
     pub(crate) waiting: BTreeMap<u64, (Epoch, Waiter)>,
     pub(crate) reads: BTreeMap<u64, api::Read>,
     pub(crate) next_read: u64,
-    /// Accepted changes that wait for entries. Bounded by the connections of the endpoint.
+    /// Accepted changes that wait for entries, each for a bounded time.
     pub(crate) confirming: Vec<api::Confirming>,
     pub(crate) metrics: Set,
     pub(crate) applied: u64,
--- a/components/control/tests/api.rs
+++ b/components/control/tests/api.rs
@@ -199,9 +199,18 @@
     let early = fixture.retire(4).unwrap_err();
     assert!(matches!(*early, Reply::Conflict(_)), "{early:?}");
     assert!(texts(&fixture.retire(5).unwrap_err())[0].contains("e1 may still send"));
-    fixture.renew(5, Vec::new());
+    let report = Report {
+        target: name("t2"),
+        point: Point::default(),
+        silent: Duration::ZERO,
+    };
+    fixture.renew(5, vec![report]);
     let command = fixture.retire(5).unwrap();
+    fixture.lead.on_retired(&name("t2"), &fixture.catalog);
+    assert!(fixture.lead.observed("t2").is_some(), "refused");
     assert_eq!(fixture.apply(&command), Ok(6));
+    fixture.lead.on_retired(&name("t2"), &fixture.catalog);
+    assert!(fixture.lead.observed("t2").is_none(), "retired");
     assert!(texts(&fixture.retire(6).unwrap_err())[0].starts_with("not_found"));
 }
 
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -17,10 +18,12 @@
     log: PathBuf,
 }
 
-/// Three control instances. Dropping it kills them, stopped ones included.
+/// Three control instances, and entry instances. Dropping it kills them, stopped ones included.
 pub struct Cluster {
     instances: Vec<Instance>,
-    _folder: TempDir,
+    /// Link addresses of the control instances.
+    links: Vec<SocketAddr>,
+    folder: TempDir,
 }
 
 impl Cluster {
@@ -33,32 +36,61 @@
         let members: Vec<Value> = (0..SIZE).map(member).collect();
         let mut cluster = Self {
             instances: Vec::new(),
-            _folder: folder,
+            links: Vec::new(),
+            folder,
         };
         for index in 0..SIZE {
-            let path = |kind: &str| cluster._folder.path().join(format!("{kind}-{index}"));
             let settings = json!({
                 "instance": name(index), "domain": "catania", "organisation": "uova",
-                "data": path("data"), "link": links[index].to_string(),
-                "http": https[index].to_string(), "token": TOKEN, "members": members,
-            });
-            fs::write(path("settings"), settings.to_string()).unwrap();
-            let process = Command::new(env!("CARGO_BIN_EXE_limpettally-control"))
-                .arg("--settings")
-                .arg(path("settings"))
-                .stderr(File::create(path("log")).unwrap())
-                .spawn()
-                .unwrap();
-            cluster.instances.push(Instance {
-                process,
-                http: https[index],
-                log: path("log"),
+                "data": cluster.folder.path().join(name(index)),
+                "link": links[index].to_string(), "http": https[index].to_string(),
+                "token": TOKEN, "members": members,
             });
+            let program = env!("CARGO_BIN_EXE_limpettally-control");
+            cluster.launch(program, &name(index), https[index], &settings);
         }
+        cluster.links = links;
         cluster.leader(&[0, 1, 2]);
         cluster
     }
 
+    /// Starts an entry instance; returns its index among all instances.
+    pub fn start_entry(&mut self, instance: &str) -> usize {
+        let [listen, http, _] = *addresses() else {
+            unreachable!("{SIZE} addresses")
+        };
+        let controls: Vec<String> = self.links.iter().map(SocketAddr::to_string).collect();
+        let settings = json!({
+            "instance": instance, "domain": "catania", "listen": listen.to_string(),
+            "http": http.to_string(), "token": TOKEN, "control": controls,
+            "cache": self.folder.path().join("cache"),
+            "session_keys": [{ "id": 1, "secret": TOKEN.repeat(3) }],
+            "callers": [{
+                "user": "anna", "salt": "c2FsdA==", "iterations": 4096,
+                "hash": "wQavkR/YSZMjLYBvZ6xvqb/4eD0wwZx8Kaz8V0tB50A=",
+            }],
+        });
+        let program = env!("CARGO_BIN_EXE_limpettally-entry");
+        self.launch(program, instance, http, &settings);
+        self.instances.len() - 1
+    }
+
+    fn launch(&mut self, program: &str, instance: &str, http: SocketAddr, settings: &Value) {
+        let path = |kind: &str| self.folder.path().join(format!("{instance}.{kind}"));
+        fs::write(path("json"), settings.to_string()).unwrap();
+        let process = Command::new(program)
+            .arg("--settings")
+            .arg(path("json"))
+            .stderr(File::create(path("log")).unwrap())
+            .spawn()
+            .unwrap();
+        self.instances.push(Instance {
+            process,
+            http,
+            log: path("log"),
+        });
+    }
+
     /// Starts the command line against these instances.
     pub fn spawn(&self, instances: &[usize], args: &[&str]) -> Child {
         let controls = instances
@@ -126,10 +158,14 @@
     format!("control-{index}")
 }
 
-/// Free addresses. All are held until each is known, so that they are distinct.
+/// Free addresses. Their ports are below those that the system gives to outgoing connections, which
+/// could otherwise take one before its process listens; each test process begins at another port.
 fn addresses() -> Vec<SocketAddr> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").unwrap();
-    let listeners: Vec<TcpListener> = (0..SIZE).map(bind).collect();
-    let address = |it: &TcpListener| it.local_addr().unwrap();
-    listeners.iter().map(address).collect()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id() % 1000 * 20;
+    let port = || 10_000 + (first + NEXT.fetch_add(1, Relaxed)) % 20_000;
+    let address = |port: u32| format!("127.0.0.1:{port}").parse().unwrap();
+    let ports = std::iter::repeat_with(port).map(address);
+    let free = ports.filter(|it: &SocketAddr| TcpListener::bind(it).is_ok());
+    free.take(SIZE).collect()
 }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -8,6 +8,7 @@
 
 use cluster::Cluster;
 use rstest::rstest;
+use serde_json::json;
 
 const ALL: [usize; 3] = [0, 1, 2];
 
@@ -195,3 +196,46 @@
     );
     assert!(error(&output).contains("control instance control-9 does not exist"));
 }
+
+/// Guards against an answer that hides an entry where the change is not in force.
+#[test]
+fn an_accepted_change_names_the_entries_that_lack_it() {
+    let mut cluster = Cluster::start();
+    let entry = cluster.start_entry("entry-a");
+    let set = |cluster: &Cluster, value: u32| {
+        let value = value.to_string();
+        let args = [
+            "settings",
+            "set",
+            "/",
+            "slots",
+            &value,
+            "--operator",
+            "anna",
+        ];
+        cluster.json(&ALL, &args)["pending"].clone()
+    };
+    let enrolled = |cluster: &Cluster| {
+        let status = cluster.json(&ALL, &["status"]);
+        status["entries"][0]["lease_ms"].is_u64()
+    };
+    wait("a lease", || enrolled(&cluster));
+    wait("a confirmation", || set(&cluster, 2) == json!([]));
+    cluster.signal(entry, "-STOP");
+    assert_eq!(set(&cluster, 3), json!(["entry-a"]), "with a lease");
+    wait("the end of the lease", || !enrolled(&cluster));
+    assert_eq!(set(&cluster, 4), json!(["entry-a"]), "without a lease");
+    cluster.signal(entry, "-CONT");
+    wait("a confirmation", || set(&cluster, 5) == json!([]));
+}
+
+/// Waits until something is so. The bound only ends a test that would hang.
+fn wait(what: &str, mut is_so: impl FnMut() -> bool) {
+    for _ in 0..400 {
+        if is_so() {
+            return;
+        }
+        sleep(Duration::from_millis(50));
+    }
+    panic!("waited in vain for {what}");
+}
