--- a/components/control/src/join.rs
+++ b/components/control/src/join.rs
@@ -33,7 +33,13 @@
             .iter()
             .find(|m| m.instance == self.settings.instance);
         let address = own.map_or(self.settings.link, |member| member.address);
+        let mut http = self.settings.http;
+        if http.ip().is_unspecified() {
+            // A wildcard can't be dialled; the address that the members use is one of this host.
+            http.set_ip(address.ip());
+        }
         Hello {
+            http,
             identity: self.node.identity().clone(),
             version: wire::VERSION,
             address: address.to_string(),
@@ -42,7 +48,9 @@
     }
 
     pub(crate) fn found(&mut self, now: Instant) -> Result<()> {
-        if !self.is_blank() {
+        // An instance that hears of this one only after the list was made would take it for a member
+        // of an older cluster and wait to be let in.
+        if !self.is_blank() || !self.peers.is_complete() {
             return Ok(());
         }
         let founders = self
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -2,12 +2,12 @@
 //! and changes of primary.
 
 mod act;
-mod api;
+pub mod api;
 pub mod convert;
 mod entries;
 mod event;
 mod join;
-mod lead;
+pub mod lead;
 mod log;
 pub mod members;
 mod metrics;
