Record a caller's request id in its own transaction

Cause: a caller that resends after a lost answer needs the second attempt to fail if the first was committed, also when the entry has died. Also found on reading: an error in a transaction was still counted at its COMMIT, whose answer was then passed on without its position.

Change: SET LOCAL limpettally.request_id inserts the id into the table limpettally_requests of the same transaction; a new batch forgets the last one's error and position; bench measures acknowledged writes.

--- a/components/entry/src/batch.rs
+++ b/components/entry/src/batch.rs
@@ -4,6 +4,9 @@
 use relay::statement::{Names, Table};
 use sql::{Cache, Class, Kind};
 
+/// Parameter that names a caller's request within its transaction.
+const REQUEST_ID: &str = "limpettally.request_id";
+
 /// What ends a batch.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum End {
@@ -36,6 +39,8 @@
     pub bound: Option<sql::Binding>,
     /// A statement that the entry answers itself.
     pub own: Option<Own>,
+    /// Request id that the transaction is to be recorded under.
+    pub request: Option<String>,
     /// Whether a statement is executed, and not only prepared.
     pub executes: bool,
     /// Number of statements that are the entry's own or need a target.
@@ -211,6 +216,10 @@
                 self.own = Some(Own::Show { name: name.clone() });
                 return;
             }
+            Kind::Set { name, value, .. } if name == REQUEST_ID => {
+                self.request = Some(value.clone());
+                self.writes = true;
+            }
             Kind::Empty | Kind::Read | Kind::Show { .. } | Kind::Set { .. } => {}
             Kind::Write => self.writes = true,
             Kind::Begin { read_only } => self.begins = Some(*read_only),
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -11,7 +11,7 @@
 use types::Term;
 
 use crate::batch::{self, Batch, End, Own};
-use crate::caller::{State, Wait, Weight};
+use crate::caller::{Caller, State, Wait, Weight};
 use crate::event::{CallerKey, ConnKey, Event};
 use crate::process::Loop;
 use crate::server::{Conn, Use};
@@ -20,6 +20,8 @@
 
 /// Time for opening a connection to a target.
 const OPEN_LIMIT: Duration = Duration::from_secs(2);
+/// Longest request id, in bytes.
+const MAX_REQUEST_ID: usize = 200;
 /// SQLSTATE of statements in a failed transaction.
 const IN_FAILED_TRANSACTION: &str = "25P02";
 
@@ -70,27 +72,15 @@
             return;
         };
         let lost = caller.transaction.is_some() && caller.bound.is_none();
-        let (target, own) = (
-            batch.work.target || batch.work.portal,
-            batch.work.own.is_some(),
-        );
+        let target = batch.work.target || batch.work.portal;
         if lost {
             return self.answer_lost(now, key, &batch);
         }
         if !target && !caller.unsynced {
             return self.answer_own(now, key, &batch);
         }
-        if own {
-            let text = "statements about limpettally's parameters go alone";
-            return self.refuse_batch(now, key, &batch, "own_mixed", "0A000", text);
-        }
-        if let Some(binding) = batch.work.bound
-            && !(binding == sql::Binding::Sequence && caller.transaction.is_some())
-        {
-            let text = format!(
-                "not run: needs a connection of its own ({binding:?}), which a shared target connection can't give"
-            );
-            return self.refuse_batch(now, key, &batch, "session_bound", "0A000", &text);
+        if let Some(Objection { label, code, text }) = objection(caller, &batch) {
+            return self.refuse_batch(now, key, &batch, label, code, &text);
         }
         let settings = self
             .databases
@@ -325,11 +315,23 @@
         };
         let batch = &wait.batch;
         let mut exchange = conn.exchange.take().unwrap_or_default();
+        exchange.begin();
         let bytes = caller.inbox.split_to(batch.length);
         if let Some(text) = set_up(&mut conn.parameters, &caller.parameters) {
             exchange.set_up(&text, &mut conn.out);
         }
-        for frame in Frames::new(&bytes, usize::MAX).flatten() {
+        let substitute = batch
+            .work
+            .request
+            .as_deref()
+            .filter(|_| batch.end == End::Simple);
+        if let Some(id) = substitute {
+            exchange.substitute(&record(id), pg::SET_COMPLETE, &mut conn.out);
+        }
+        for frame in Frames::new(&bytes, usize::MAX)
+            .flatten()
+            .filter(|_| substitute.is_none())
+        {
             let sent = exchange.request(
                 frame,
                 &mut caller.names,
@@ -508,6 +510,59 @@
     }
 }
 
+/// Why a batch is refused before a target is chosen.
+struct Objection {
+    label: &'static str,
+    code: &'static str,
+    text: String,
+}
+
+/// What keeps a batch from being relayed over shared connections.
+fn objection(caller: &Caller, batch: &Batch) -> Option<Objection> {
+    let work = &batch.work;
+    let object = |label, code, text: &str| {
+        let text = format!("not run: {text}");
+        Some(Objection { label, code, text })
+    };
+    if work.own.is_some() || work.request.is_some() && work.statements > 1 {
+        let text = "a statement about limpettally's parameters goes alone";
+        return object("own_mixed", "0A000", text);
+    }
+    if let Some(id) = &work.request {
+        if batch.end != End::Simple {
+            return object(
+                "request_id",
+                "0A000",
+                "a request id is set by a simple query",
+            );
+        }
+        if caller.transaction.is_none() {
+            let text = "a request id belongs to a transaction, begin one first";
+            return object("request_id", "25P01", text);
+        }
+        if id.is_empty() || id.len() > MAX_REQUEST_ID {
+            let text = format!("a request id has 1 to {MAX_REQUEST_ID} bytes");
+            return object("request_id", "22023", &text);
+        }
+    }
+    let binding = work.bound?;
+    if binding == sql::Binding::Sequence && caller.transaction.is_some() {
+        return None;
+    }
+    let text =
+        format!("{binding:?} needs a connection of its own, and target connections are shared");
+    object("session_bound", "0A000", &text)
+}
+
+/// Statement that records a request id in the transaction that the request belongs to, so that a
+/// second attempt fails with 23505 whether or not an entry remembers the first.
+fn record(id: &str) -> String {
+    format!(
+        "INSERT INTO limpettally_requests (id) VALUES ('{}')",
+        id.replace('\'', "''")
+    )
+}
+
 /// Statements that give a connection the parameters of its next caller, if they differ.
 fn set_up(present: &mut Vec<(String, String)>, wanted: &[(String, String)]) -> Option<String> {
     if present == wanted {
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -6,7 +6,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 
 /// Reasons of the counter `refusals`.
-const REFUSALS: [&str; 28] = [
+const REFUSALS: [&str; 29] = [
+    "request_id",
     "queue_full",
     "queue_deadline",
     "no_primary",
--- a/components/pg/src/build.rs
+++ b/components/pg/src/build.rs
@@ -19,6 +19,8 @@
 pub const PARSE_COMPLETE: &[u8] = b"1\0\0\0\x04";
 /// A CloseComplete.
 pub const CLOSE_COMPLETE: &[u8] = b"3\0\0\0\x04";
+/// CommandComplete of a SET.
+pub const SET_COMPLETE: &[u8] = b"C\0\0\0\x08SET\0";
 /// Name of the only SASL mechanism that is offered.
 pub const SCRAM_SHA_256: &str = "SCRAM-SHA-256";
 /// Type id of `text` in row descriptions.
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -34,6 +34,9 @@
     Sync,
     /// Up to ReadyForQuery after a simple query.
     Simple,
+    /// Up to ReadyForQuery after a simple query that stands for the caller's; the caller gets this
+    /// completion in place of the target's.
+    Substitute(&'static [u8]),
     /// Up to ReadyForQuery after statements of the entry's own.
     SetUp,
     /// Up to ReadyForQuery after the position query; nothing of it is forwarded.
@@ -130,6 +133,12 @@
         self.expected.is_empty()
     }
 
+    /// Begins the next batch of a transaction: what is known of the last one no longer counts.
+    pub fn begin(&mut self) {
+        self.failed = false;
+        self.probe = None;
+    }
+
     /// Holds back completions from now on, until [`Self::take_held`].
     pub fn hold(&mut self) {
         if matches!(self.hold, Hold::Off) {
@@ -151,6 +160,13 @@
         self.expected.push_back(Expected::SetUp);
     }
 
+    /// Sends a statement in place of the caller's simple query. Its errors are forwarded, and its
+    /// completion is replaced by `completion`.
+    pub fn substitute(&mut self, text: &str, completion: &'static [u8], out: &mut BytesMut) {
+        pg::query(out, text.as_bytes());
+        self.expected.push_back(Expected::Substitute(completion));
+    }
+
     /// Appends the position query.
     pub fn ask_position(&mut self, out: &mut BytesMut) {
         pg::query(out, probe::QUERY.as_bytes());
@@ -314,7 +330,7 @@
         match self.expected.front() {
             None => return Err(Failure::Unexpected(frame.tag)),
             Some(Expected::Probe | Expected::SetUp) => return Ok(()),
-            Some(Expected::Simple) => {}
+            Some(Expected::Simple | Expected::Substitute(_)) => {}
             // The target skips everything up to the next Sync.
             Some(_) => self.skip_to_sync(prepared),
         }
@@ -337,7 +353,9 @@
     fn ready(&mut self, frame: Frame<'_>, out: &mut BytesMut) -> Result<(), Failure> {
         self.status = frame.status()?;
         match self.expected.pop_front() {
-            Some(Expected::Sync | Expected::Simple) => self.emit(frame, out),
+            Some(Expected::Sync | Expected::Simple | Expected::Substitute(_)) => {
+                self.emit(frame, out)
+            }
             Some(Expected::Probe | Expected::SetUp) => Ok(()),
             _ => Err(Failure::Unexpected(frame.tag)),
         }
@@ -348,6 +366,9 @@
             .expected
             .front()
             .ok_or(Failure::Unexpected(frame.tag))?;
+        if let (Expected::Substitute(completion), b'C') = (expected, frame.tag) {
+            return self.put(completion, out);
+        }
         let (ends, forward) = match (expected, frame.tag) {
             (Expected::Parse { forward, .. }, b'1') | (Expected::Close { forward }, b'3') => {
                 (true, forward)
--- a/examples/bench.rs
+++ b/examples/bench.rs
@@ -1,5 +1,5 @@
-//! Cost of an entry: latency added to `SELECT 1` over a direct connection to the target, and
-//! statements per second of processor time. `bench DIRECT_PORT ENTRY_PORT ENTRY_PID`.
+//! Cost of an entry: latency added to `SELECT 1` over a direct connection to the target, latency of
+//! acknowledged writes, and statements per second of processor time. `bench DIRECT_PORT ENTRY_PORT ENTRY_PID`.
 
 use std::time::{Duration, Instant};
 
@@ -9,6 +9,8 @@
 
 /// Statements of each latency series; the two series take turns.
 const LATENCY_STATEMENTS: usize = 20_000;
+/// Writes of each series.
+const WRITES: usize = 1000;
 /// Callers of the throughput run; a target has 35 connections for all of them.
 const CALLERS: usize = 32;
 /// Length of the throughput run.
@@ -24,6 +26,7 @@
     };
     let (direct, entry) = (direct.parse()?, entry.parse()?);
     latency(direct, entry).await?;
+    writes(direct, entry).await?;
     throughput(entry, pid).await
 }
 
@@ -66,6 +69,40 @@
     Ok(())
 }
 
+/// Latency of autocommitted updates, which an entry acknowledges only once `write.acks` replicas
+/// cover them.
+async fn writes(direct: u16, entry: u16) -> Result<()> {
+    let clients = [connect(direct).await?, connect(entry).await?];
+    let table = "CREATE TABLE IF NOT EXISTS bench (id int PRIMARY KEY, n int)";
+    clients[1]
+        .batch_execute(table)
+        .await
+        .context("create the table")?;
+    let insert = "INSERT INTO bench VALUES (1, 0) ON CONFLICT DO NOTHING";
+    clients[1]
+        .batch_execute(insert)
+        .await
+        .context("insert the row")?;
+    let mut series = [Histogram::<u64>::new(3)?, Histogram::<u64>::new(3)?];
+    for _ in 0..WRITES {
+        for (client, histogram) in clients.iter().zip(&mut series) {
+            let started = Instant::now();
+            client
+                .simple_query("UPDATE bench SET n = n + 1 WHERE id = 1")
+                .await?;
+            histogram.record(u64::try_from(started.elapsed().as_nanos())?)?;
+        }
+    }
+    print("write, direct", &series[0]);
+    print("write, entry", &series[1]);
+    Ok(())
+}
+
+fn print(name: &str, histogram: &Histogram<u64>) {
+    let us = |q| histogram.value_at_quantile(q) as f64 / 1e3;
+    println!("{name}: p50 {:.1} us, p99 {:.1} us", us(0.5), us(0.99));
+}
+
 async fn throughput(entry: u16, pid: &str) -> Result<()> {
     let mut callers = tokio::task::JoinSet::new();
     let before = processor_seconds(pid)?;
