Bound the age of replica reads and the retries of an entry

Cause: a caller that stated no age was given replicas of any age; a lost read was sent again without a budget; each change of the catalog was written to the cache file at once.

Change: read.max_age_ms is 10 s by default and always holds (0 sends such reads to the primary); retries spend from a budget of 10% of the requests; the cache file is written once a second at most.

--- a/components/catalog/src/generated.rs
+++ b/components/catalog/src/generated.rs
@@ -16,7 +16,7 @@
     QueueMaxWaitMs,
     /// Statements that wait for a slot, per entry and target.
     QueueMaxWaiting,
-    /// Age that a read may have when the session gives none; 0: only the session rule applies.
+    /// Age that a read on a replica may have when the session states none; 0: such reads go to the primary.
     ReadMaxAgeMs,
     /// How long a read waits for a replica that is only just short of the required position.
     ReadWaitMs,
@@ -97,8 +97,8 @@
     crate::tree::Spec {
         key: Key::ReadMaxAgeMs,
         name: "read.max_age_ms",
-        about: "Age that a read may have when the session gives none; 0: only the session rule applies.",
-        default: 0,
+        about: "Age that a read on a replica may have when the session states none; 0: such reads go to the primary.",
+        default: 10000,
         min: 0,
         max: 86400000,
         deepest: 7,
@@ -166,7 +166,7 @@
     pub queue_max_wait_ms: u32,
     /// Statements that wait for a slot, per entry and target.
     pub queue_max_waiting: u32,
-    /// Age that a read may have when the session gives none; 0: only the session rule applies.
+    /// Age that a read on a replica may have when the session states none; 0: such reads go to the primary.
     pub read_max_age_ms: u32,
     /// How long a read waits for a replica that is only just short of the required position.
     pub read_wait_ms: u32,
@@ -189,7 +189,7 @@
             lease_ttl_ms: 1000,
             queue_max_wait_ms: 1000,
             queue_max_waiting: 256,
-            read_max_age_ms: 0,
+            read_max_age_ms: 10000,
             read_wait_ms: 5,
             slots: 5,
             slots_long_max: 3,
--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -459,8 +459,8 @@
         let replay =
             replay.filter(|_| !forwarded && wait.retries < MAX_RETRIES && now < wait.deadline);
         match replay {
-            Some(bytes) => self.repeat(now, caller_key, wait, &bytes),
-            None => self.report_lost(caller_key, &wait),
+            Some(bytes) if self.budget.spend(now) => self.repeat(now, caller_key, wait, &bytes),
+            _ => self.report_lost(caller_key, &wait),
         }
     }
 
--- a/components/entry/src/database.rs
+++ b/components/entry/src/database.rs
@@ -53,8 +53,8 @@
 /// Settings that apply to a database as a whole: those of its present primary, or of any target.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Settings {
-    /// Age that a read may have when the session gives none; none: only the session rule applies.
-    pub max_age: Option<Duration>,
+    /// Age that a read on a replica may have when the session states none.
+    pub max_age: Duration,
     /// How long a read waits for a replica.
     pub read_wait: Duration,
     /// Replicas that have to cover a write.
@@ -131,7 +131,7 @@
     fn from(values: &catalog::Values) -> Self {
         let ms = |value: u32| Duration::from_millis(value.into());
         Self {
-            max_age: (values.read_max_age_ms > 0).then(|| ms(values.read_max_age_ms)),
+            max_age: ms(values.read_max_age_ms),
             read_wait: ms(values.read_wait_ms),
             acks: values.write_acks as usize,
             ack_timeout: ms(values.write_ack_timeout_ms),
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -118,7 +118,7 @@
         let request = Request {
             kind,
             needs: Needs::of(&caller.session, &caller.database, &database.history),
-            max_age: caller.max_age.or(database.settings.max_age),
+            max_age: Some(caller.max_age.unwrap_or(database.settings.max_age)),
             bound: None,
             wait_until: wait.wait_until,
             deadline: wait.deadline,
@@ -345,6 +345,7 @@
         conn.caller = Some(key);
         conn.forwarded = false;
         conn.started = now;
+        self.budget.on_request(now);
         if caller.may_commit(batch) {
             exchange.hold();
             exchange.ask_position(&mut conn.out);
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -16,6 +16,9 @@
 use crate::server::Server;
 use crate::timer::Due;
 
+/// Pause between a change of the catalog and its writing to the file, so that a series of changes
+/// is written once.
+const SAVE_PAUSE: Duration = Duration::from_secs(1);
 /// Messages that wait for the stream to control.
 const OUT: usize = 256;
 
@@ -248,7 +251,9 @@
         for name in all {
             self.requeue(now, &name);
         }
-        self.save();
+        if !std::mem::replace(&mut self.unsaved, true) {
+            self.timers.add(now + SAVE_PAUSE, Due::Save);
+        }
     }
 
     fn on_change_of_primary(&mut self, now: Instant, name: &Name) {
@@ -319,8 +324,9 @@
         }
     }
 
-    /// Writes the catalog to its file. It is small and rarely changes.
-    fn save(&self) {
+    /// Writes the catalog to its file.
+    pub(crate) fn save(&mut self) {
+        self.unsaved = false;
         let (Some(path), Some(catalog)) = (&self.settings.cache, self.control.catalog()) else {
             return;
         };
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -4,6 +4,7 @@
 
 use ahash::HashMap;
 use anyhow::{Context, Result};
+use pool::retry::Budget;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use relay::statement::Table;
@@ -32,6 +33,8 @@
 const BATCH: usize = 256;
 /// Texts whose class is kept.
 const CLASSES: std::num::NonZeroUsize = std::num::NonZeroUsize::new(10_000).unwrap();
+/// Window of the retry budget.
+const RETRY_WINDOW: std::time::Duration = std::time::Duration::from_secs(10);
 /// Bytes that a caller's socket may lag behind before its target is paused.
 const MAX_BACKLOG: usize = 1 << 20;
 
@@ -62,6 +65,10 @@
     pub(crate) cache: Cache,
     pub(crate) statements: Table,
     pub(crate) timers: Timers,
+    /// Bounds what is sent again.
+    pub(crate) budget: Budget,
+    /// The catalog has changed since it was last written to its file.
+    pub(crate) unsaved: bool,
     /// Connections and callers with bytes to send at the end of the turn.
     pub(crate) dirty_conns: Vec<ConnKey>,
     pub(crate) dirty_callers: Vec<CallerKey>,
@@ -165,6 +172,8 @@
             cache: Cache::new(CLASSES),
             statements: Table::default(),
             timers: Timers::default(),
+            budget: Budget::new(RETRY_WINDOW, now),
+            unsaved: false,
             dirty_conns: Vec::new(),
             dirty_callers: Vec::new(),
             ready: Vec::new(),
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -25,6 +25,7 @@
                 }
                 Due::Routing(name) => self.reroute(now, &name),
                 Due::Acks(name) => self.on_acks(now, &name),
+                Due::Save => self.save(),
                 Due::Quotas => self.on_quotas(now),
                 Due::Silence(index) => self.on_silence_due(now, index),
             }
--- a/components/entry/src/timer.rs
+++ b/components/entry/src/timer.rs
@@ -20,6 +20,8 @@
     Routing(Name),
     /// Writes of a database that wait for replicas.
     Acks(Name),
+    /// The file of the catalog.
+    Save,
     /// Connections beyond the quotas.
     Quotas,
 }
