Label the reason of an emptied target

The merged tree did not compile: failover gained Reason::Emptied, which the labels of failover_stalls did not cover.

--- a/components/control/src/act.rs
+++ b/components/control/src/act.rs
@@ -116,6 +116,7 @@
         Reason::NoSinglePrimary => "no_single_primary",
         Reason::NoPromotion(_) => "no_promotion",
         Reason::OtherTerm(..) => "other_term",
+        Reason::Emptied(_) => "emptied",
         Reason::Undone => "undone",
         Reason::Refused(_) => "refused",
     }
