--- /dev/null
+++ b/tests/system/input.rs
@@ -0,0 +1,149 @@
+//! Bad input on the callers' port.
+
+use rand::rngs::SmallRng;
+use rand::{RngExt as _, SeedableRng as _};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::harness::{LIMIT, Options, System, eventually};
+use crate::load::{Load, Outcome};
+use crate::run;
+
+/// Connections that send nothing.
+const HALF_OPEN: usize = 1000;
+const SEED: u64 = 7;
+
+/// Sends bytes and reads until the entry closes; returns what it said.
+async fn send(system: &System, bytes: &[u8], end: bool) -> Vec<u8> {
+    let mut socket = TcpStream::connect(system.address("entry", 0))
+        .await
+        .unwrap();
+    // The entry may refuse before everything is sent.
+    let _sent = socket.write_all(bytes).await;
+    if end {
+        let _ended = socket.shutdown().await;
+    }
+    let mut answer = Vec::new();
+    let read = timeout(LIMIT, socket.read_to_end(&mut answer)).await;
+    // A reset is a close too.
+    let _closed = read.expect("the entry closes the connection");
+    answer
+}
+
+fn start(version: i32, body: &[u8]) -> Vec<u8> {
+    let length = i32::try_from(8 + body.len()).unwrap();
+    [&length.to_be_bytes(), &version.to_be_bytes(), body].concat()
+}
+
+async fn refused(system: &System) -> u64 {
+    let mut sum = 0;
+    for reason in [
+        "start_timeout",
+        "start_closed",
+        "start_protocol",
+        "start_version",
+    ] {
+        sum += system.count(0, "refusals", reason).await;
+    }
+    sum
+}
+
+/// Bad input must end in an error or a close with a counter, and must cost no other caller
+/// anything.
+#[test]
+fn bad_input_costs_no_other_caller_anything() {
+    run(async {
+        let options = Options {
+            start_timeout_ms: 1000,
+            ..Options::default()
+        };
+        let system = System::start(options).await;
+        let load = Load::start(&system, &[0]).await;
+        let mut expected = refused(&system).await;
+
+        let mut rng = SmallRng::seed_from_u64(SEED);
+        let mut inputs = vec![
+            (start(2 << 16, b"user\0demo\0\0"), false),
+            (start(4 << 16, b"user\0demo\0\0"), false),
+            // A torn start-up message.
+            (start(196_608, b"user\0demo\0\0")[..9].to_vec(), true),
+            (start(196_608, b"user\0demo"), false),
+            // An oversized start-up message, and a length below the shortest one.
+            (vec![0x7F, 0xFF, 0xFF, 0xFF, 0, 3, 0, 0], false),
+            (vec![0, 0, 0, 3, 0, 3, 0, 0], false),
+        ];
+        for _ in 0..50 {
+            let length = rng.random_range(1..200);
+            inputs.push(((0..length).map(|_| rng.random()).collect(), true));
+        }
+        for (bytes, end) in &inputs {
+            send(&system, bytes, *end).await;
+            expected += 1;
+        }
+        eventually("a count for each input", LIMIT, async || {
+            (refused(&system).await >= expected).then_some(())
+        })
+        .await;
+
+        for frame in [
+            &b"Q\x7F\xFF\xFF\xFF"[..],
+            b"Q\0\0\0\x01",
+            b"@\0\0\0\x04",
+            b"Q\0\0\0\x08abcd",
+        ] {
+            let before = system.count(0, "refusals", "invalid_frame").await;
+            let answer = send_as_caller(&system, frame).await;
+            assert!(
+                answer.windows(6).any(|w| w == b"C08P01"),
+                "frame {frame:?}: {answer:?}"
+            );
+            assert_eq!(
+                system.count(0, "refusals", "invalid_frame").await,
+                before + 1
+            );
+        }
+
+        let mut half_open = Vec::new();
+        for _ in 0..HALF_OPEN {
+            half_open.push(
+                TcpStream::connect(system.address("entry", 0))
+                    .await
+                    .unwrap(),
+            );
+        }
+        load.progress("writes beside half-open connections", &[0], 50, LIMIT)
+            .await;
+        let caller = system
+            .connect(0, None)
+            .await
+            .expect("a new caller is served");
+        caller
+            .batch_execute("INSERT INTO log VALUES (-1, 'new')")
+            .await
+            .unwrap();
+        eventually("the start-up deadline", LIMIT, async || {
+            let timeouts = system.count(0, "refusals", "start_timeout").await;
+            (timeouts >= HALF_OPEN as u64).then_some(())
+        })
+        .await;
+        for mut socket in half_open {
+            let closed = timeout(LIMIT, socket.read(&mut [0; 64])).await;
+            // A reset is a close too.
+            let _closed = closed.expect("the entry closes a half-open connection");
+        }
+        let outcomes = load.stop().await;
+        let failed = outcomes.values().find(|outcome| **outcome != Outcome::Done);
+        assert_eq!(failed, None, "another caller");
+    });
+}
+
+/// Sends bytes after the login and reads until the entry closes; returns what it said.
+async fn send_as_caller(system: &System, frame: &[u8]) -> Vec<u8> {
+    let mut socket = crate::raw::login(system.address("entry", 0)).await;
+    let _sent = socket.write_all(frame).await;
+    let mut answer = Vec::new();
+    let read = timeout(LIMIT, socket.read_to_end(&mut answer)).await;
+    let _closed = read.expect("the entry closes the connection");
+    answer
+}
--- /dev/null
+++ b/tests/system/main.rs
@@ -0,0 +1,20 @@
+//! Failures of real processes, and what callers see of them.
+
+mod callers;
+mod control;
+mod entries;
+mod harness;
+mod input;
+mod link;
+mod load;
+mod primary;
+mod raw;
+
+/// Runs a test on one thread.
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
