Report no silence of targets that may not be asked

Cause: an entry enrolled after the leader's election has quota 0 during the grace period; its watch stops asking then, but its renewals kept reporting the growing silence, so that the leader replaced a healthy primary. Change: a target with quota 0 is left out of the report, and silence counts from the time at which questions are asked again.

--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -94,7 +94,7 @@
                 target: server.name.to_string(),
                 role: role.into(),
                 point: observed.point.into(),
-                silent_ms: ms(now.saturating_duration_since(server.watch.answered_at)),
+                silent_ms: ms(server.silence(now)?),
             })
         });
         let demand = known().map(|server| wire::Demand {
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -116,6 +116,8 @@
     pub asked_at: Instant,
     /// When the target answered last; the start of the watch if it never did.
     pub answered_at: Instant,
+    /// Since when questions are asked. Silence before that says nothing of the target.
+    pub since: Instant,
     /// What it said last.
     pub last: Option<(Role, Observed)>,
     /// The last answer showed progress.
@@ -181,6 +183,7 @@
                 next_at: Some(now),
                 asked_at: now,
                 answered_at: now,
+                since: now,
                 last: None,
                 advanced: false,
             },
@@ -208,6 +211,13 @@
         self.watch.last.is_some() && now.saturating_duration_since(self.watch.answered_at) <= detect
     }
 
+    /// How long it has left questions unanswered; none while it may not be asked.
+    #[must_use]
+    pub fn silence(&self, now: Instant) -> Option<Duration> {
+        let from = self.watch.answered_at.max(self.watch.since);
+        (self.quota > 0).then(|| now.saturating_duration_since(from))
+    }
+
     /// Whether its announcements are heard here.
     #[must_use]
     pub fn is_heard(&self, now: Instant) -> bool {
--- a/components/entry/src/watch.rs
+++ b/components/entry/src/watch.rs
@@ -35,6 +35,7 @@
             None => return,
         }
         if !server.known || server.quota == 0 {
+            server.watch.since = now;
             server.watch.next_at = Some(now + WATCH_INTERVAL);
             return self.timers.add(now + WATCH_INTERVAL, Due::Watch(index));
         }
--- a/tests/system/callers.rs
+++ b/tests/system/callers.rs
@@ -6,9 +6,11 @@
 use tokio::time::timeout;
 use tokio_postgres::NoTls;
 
-use crate::harness::{LIMIT, Options, System, token, value};
+use crate::caller::{token, value};
+use crate::harness::{LIMIT, System};
 use crate::load::Outcome;
 use crate::run;
+use crate::settings::Options;
 
 /// Replication delay, far above the time from a write to a read.
 const LAG_MS: u64 = 30;
--- a/tests/system/control.rs
+++ b/tests/system/control.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use crate::harness::{LIMIT, Options, System, eventually, value};
+use crate::caller::{eventually, value};
+use crate::harness::{LIMIT, System};
 use crate::load::{Load, Outcome, check, stored};
 use crate::run;
+use crate::settings::Options;
 
 const ALL: [usize; 3] = [0, 1, 2];
 
@@ -97,7 +99,7 @@
             .await
             .unwrap();
 
-        system.cut_control(0, true);
+        system.cut_control("entry-0", true);
         let mut done = 0;
         eventually("a refusal for the lease", LIMIT, async || {
             let write = format!("INSERT INTO log VALUES ({}, 'cut')", -1000 - done);
@@ -125,7 +127,7 @@
         load.progress("writes through the other entries", &[1, 2], 20, LIMIT)
             .await;
 
-        system.cut_control(0, false);
+        system.cut_control("entry-0", false);
         eventually("writes after the healing", LIMIT, async || {
             let write = cut_off
                 .execute("INSERT INTO log VALUES (-4, 'cut')", &[])
--- a/tests/system/entries.rs
+++ b/tests/system/entries.rs
@@ -1,13 +1,18 @@
 //! Failures and stops of entries.
 
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::harness::{LIMIT, Options, System, eventually, value};
+use crate::caller::{connect, eventually, value};
+use crate::harness::{LIMIT, System};
 use crate::load::{Load, Outcome, check, stored};
 use crate::run;
+use crate::settings::Options;
 
 /// Longer than the lease of 1 s, as the brief of the test asks.
 const FROZEN: Duration = Duration::from_secs(3);
@@ -23,7 +28,7 @@
             .execute("INSERT INTO log VALUES (1, 'before')", &[])
             .await
             .unwrap();
-        let target = system.target(0).await;
+        let target = system.target(system.primary().await).await;
         // A row lock keeps the write on its way until the entry is frozen.
         target
             .batch_execute("CREATE TABLE one (id int PRIMARY KEY, v int)")
@@ -175,10 +180,10 @@
     run(async {
         let mut system = System::start(Options::default()).await;
         let addresses = [0, 1, 2].map(|i| system.address("entry", i));
-        let stop = std::rc::Rc::new(std::cell::Cell::new(false));
+        let stop = Rc::new(Cell::new(false));
         let mut clients = Vec::new();
         for client in 0..6_i32 {
-            let stop = std::rc::Rc::clone(&stop);
+            let stop = Rc::clone(&stop);
             clients.push(spawn_local(roam(addresses, client, stop)));
         }
         for i in 0..3 {
@@ -197,47 +202,55 @@
             .await;
         }
         stop.set(true);
-        let mut done = Vec::new();
+        let mut writes = Writes::default();
         for client in clients {
-            done.extend(timeout(LIMIT, client).await.expect("an answer").unwrap());
+            let client = timeout(LIMIT, client).await.expect("an answer").unwrap();
+            writes.done.extend(client.done);
+            writes.refused.extend(client.refused);
         }
-        assert!(done.len() > 100, "there was a load: {}", done.len());
+        assert!(writes.done.len() > 100, "there was a load");
         let stored = stored(&system, 0).await;
-        for id in done {
+        for id in writes.done {
             assert_eq!(stored.get(&id), Some(&1), "write {id}");
         }
+        for id in writes.refused {
+            assert_eq!(stored.get(&id), None, "write {id} was refused as not run");
+        }
     });
 }
 
-/// Writes until told to stop; returns the ids of its writes, each of which was acknowledged.
-async fn roam(
-    addresses: [std::net::SocketAddr; 3],
-    client: i32,
-    stop: std::rc::Rc<std::cell::Cell<bool>>,
-) -> Vec<i32> {
-    let mut done = Vec::new();
+/// Ids of writes that were acknowledged, and of writes that were refused as not run.
+#[derive(Debug, Default)]
+struct Writes {
+    done: Vec<i32>,
+    refused: Vec<i32>,
+}
+
+/// Writes until told to stop, at the next entry whenever one tells it to go.
+async fn roam(addresses: [SocketAddr; 3], client: i32, stop: Rc<Cell<bool>>) -> Writes {
+    let mut writes = Writes::default();
     let mut at = client as usize;
-    let mut id = client * 1_000_000;
+    let mut ids = client * 1_000_000..;
     while !stop.get() {
         at += 1;
         // An entry that is stopping or not up yet takes no connection; the balancer tries the next.
-        let Ok(caller) = crate::harness::connect(addresses[at % 3], None).await else {
+        let Ok(caller) = connect(addresses[at % 3], None).await else {
             sleep(Duration::from_millis(5)).await;
             continue;
         };
         while !stop.get() {
+            let id = ids.next().unwrap();
             let write = format!("INSERT INTO log VALUES ({id}, 'roam')");
-            match Outcome::of(caller.simple_query(&write).await) {
-                Outcome::Done => {
-                    done.push(id);
-                    id += 1;
-                }
-                Outcome::Refused(code) if code == "57P01" => break,
+            match caller.outcome(caller.simple_query(&write).await).await {
+                Outcome::Done => writes.done.push(id),
                 // An entry that has just started has no lease yet.
-                Outcome::Refused(code) if code == "57L04" || code == "57L05" => break,
+                outcome if outcome.is_not_run() => {
+                    writes.refused.push(id);
+                    break;
+                }
                 other => panic!("write {id}: {other:?}"),
             }
         }
     }
-    done
+    writes
 }
--- a/tests/system/harness.rs
+++ b/tests/system/harness.rs
@@ -6,14 +6,15 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
+use serde_json::Value;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
-use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
 
+use crate::caller::{Caller, connect, eventually, value};
 use crate::link::Link;
+use crate::settings::Options;
 
 /// Time for anything that must come to pass at all; the design page has every change over in 10 s.
 pub const LIMIT: Duration = Duration::from_secs(10);
@@ -21,30 +22,6 @@
 const START: Duration = Duration::from_secs(30);
 /// Starts with new ports before giving up, in case another program took one of them.
 const ATTEMPTS: usize = 3;
-const TOKEN: &str = "system-test-token-0123456789";
-const DOMAINS: [&str; 3] = ["catania", "ragusa", "enna"];
-
-/// What a test may choose.
-#[derive(Clone, Copy, Debug)]
-pub struct Options {
-    /// Delay of replication.
-    pub lag_ms: u64,
-    /// Deadline of an entry's graceful stop.
-    pub stop_timeout_ms: u64,
-    /// Deadline of a connection's start.
-    pub start_timeout_ms: u64,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            lag_ms: 2,
-            stop_timeout_ms: 10_000,
-            start_timeout_ms: 10_000,
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Process {
     binary: &'static str,
@@ -54,11 +31,11 @@
 /// A running system. Dropping it ends every process.
 #[derive(Debug)]
 pub struct System {
-    folder: TempDir,
+    pub(crate) folder: TempDir,
     ports: BTreeMap<String, u16>,
     processes: BTreeMap<String, Process>,
-    /// From an entry to a control instance, by both numbers.
-    pub links: BTreeMap<(usize, usize), Link>,
+    /// In front of each control instance.
+    pub(crate) links: Vec<Link>,
 }
 
 impl System {
@@ -71,7 +48,7 @@
             let mut system = Self::attempt(options).await;
             match system.ready().await {
                 Ok(()) => return system,
-                Err(name) => eprintln!("{name} ended at its start:\n{}", system.log(&name)),
+                Err(ended) => eprintln!("ended at its start: {ended}\n{}", system.logs()),
             }
         }
         panic!("no start in {ATTEMPTS} attempts");
@@ -91,13 +68,11 @@
             folder: tempfile::tempdir().unwrap(),
             ports,
             processes: BTreeMap::new(),
-            links: BTreeMap::new(),
+            links: Vec::new(),
         };
-        for entry in 0..3 {
-            for control in 0..3 {
-                let link = Link::start(system.address("control", control)).await;
-                system.links.insert((entry, control), link);
-            }
+        for control in 0..3 {
+            let link = Link::start(system.address("control", control)).await;
+            system.links.push(link);
         }
         drop(held);
         for i in 0..3 {
@@ -131,57 +106,14 @@
         self.restart(&name);
     }
 
-    fn control_settings(&self, i: usize) -> Value {
-        let member =
-            |i| json!({"instance": format!("control-{i}"), "address": self.address("control", i)});
-        json!({
-            "instance": format!("control-{i}"), "domain": DOMAINS[i], "token": TOKEN,
-            "data": self.folder.path().join(format!("control-{i}.data")),
-            "link": self.address("control", i), "http": self.address("control-http", i),
-            "members": [member(0), member(1), member(2)],
-        })
-    }
-
-    fn entry_settings(&self, i: usize, options: Options) -> Value {
-        let control: Vec<_> = (0..3).map(|c| self.links[&(i, c)].address).collect();
-        json!({
-            "instance": format!("entry-{i}"), "domain": DOMAINS[i], "token": TOKEN,
-            "listen": self.address("entry", i), "http": self.address("entry-http", i),
-            "control": control,
-            "cache": self.folder.path().join(format!("entry-{i}.catalog")),
-            "session_keys": [{"id": 1, "secret": "system-test-secret-0123456789-0123456789"}],
-            // The caller's password is "demo".
-            "callers": [{
-                "user": "demo", "salt": "bGltcGV0dGFsbHktZGVtbw==", "iterations": 4096,
-                "hash": "wQavkR/YSZMjLYBvZ6xvqb/4eD0wwZx8Kaz8V0tB50A=",
-            }],
-            "stop_timeout_ms": options.stop_timeout_ms,
-            "start_timeout_ms": options.start_timeout_ms,
-        })
-    }
-
-    fn target_settings(&self, i: usize, options: Options) -> Value {
-        let announce: Vec<_> = (0..3).map(|e| self.address("entry-http", e)).collect();
-        let mut settings = json!({
-            "target": format!("target-{i}"), "service": "registro-uova", "database": "orders",
-            "group": "orders", "region": "sicilia-est", "domain": DOMAINS[i], "token": TOKEN,
-            "listen": self.address("target", i), "announce": announce, "ttl_ms": 3000,
-            "lag_ms": options.lag_ms,
-        });
-        if i > 0 {
-            settings["primary"] = json!(self.address("target", 0));
-        }
-        settings
-    }
-
     /// Waits until every entry acknowledges a write. Fails with a process that has ended.
     async fn ready(&mut self) -> Result<(), String> {
         let started = Instant::now();
         for entry in 0..3 {
             loop {
                 for (name, process) in &mut self.processes {
-                    if process.has_ended() {
-                        return Err(name.clone());
+                    if let Some(status) = process.ended() {
+                        return Err(format!("{name}: {status}"));
                     }
                 }
                 let create = "CREATE TABLE IF NOT EXISTS log (id int, v text)";
@@ -271,9 +203,9 @@
             .unwrap();
     }
 
-    /// Cuts or heals every link from an entry to control.
-    pub fn cut_control(&self, entry: usize, cut: bool) {
-        (0..3).for_each(|control| self.links[&(entry, control)].cut(cut));
+    /// Cuts or heals the links from a process to every control instance.
+    pub fn cut_control(&self, name: &str, cut: bool) {
+        self.links.iter().for_each(|link| link.cut(name, cut));
     }
 
     // --- Observation ------------------------------------------------------------------------------
@@ -283,15 +215,30 @@
         &self,
         entry: usize,
         token: Option<&str>,
-    ) -> Result<Client, tokio_postgres::Error> {
+    ) -> Result<Caller, tokio_postgres::Error> {
         connect(self.address("entry", entry), token).await
     }
 
     /// A connection to a target, past the entries.
-    pub async fn target(&self, target: usize) -> Client {
+    pub async fn target(&self, target: usize) -> Caller {
         connect(self.address("target", target), None).await.unwrap()
     }
 
+    /// The target that is the primary, as the targets say themselves.
+    pub async fn primary(&self) -> usize {
+        eventually("one primary", LIMIT, async || {
+            let mut found = Vec::new();
+            for i in 0..3 {
+                let recovers = value(&self.target(i).await, "SELECT pg_is_in_recovery()").await;
+                if recovers.ok()?.as_deref() == Some("f") {
+                    found.push(i);
+                }
+            }
+            (found.len() == 1).then(|| found[0])
+        })
+        .await
+    }
+
     /// A metric of a process; none if it has no such line or does not answer.
     pub async fn metric(&self, kind: &str, i: usize, name: &str) -> Option<u64> {
         let mut socket = TcpStream::connect(self.address(&format!("{kind}-http"), i))
@@ -329,10 +276,8 @@
 }
 
 impl Process {
-    fn has_ended(&mut self) -> bool {
-        self.child
-            .as_mut()
-            .is_some_and(|child| child.try_wait().is_ok_and(|status| status.is_some()))
+    fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.as_mut()?.try_wait().unwrap()
     }
 }
 
@@ -348,58 +293,3 @@
         }
     }
 }
-
-/// A caller at an address, with a session token if there is one.
-pub async fn connect(
-    address: SocketAddr,
-    token: Option<&str>,
-) -> Result<Client, tokio_postgres::Error> {
-    let mut config = Config::new();
-    config
-        .host(address.ip().to_string())
-        .port(address.port())
-        .user("demo")
-        .password("demo")
-        .dbname("orders")
-        .connect_timeout(Duration::from_secs(5));
-    if let Some(token) = token {
-        config.options(format!("-c limpettally.session={token}"));
-    }
-    let (client, connection) = config.connect(NoTls).await?;
-    tokio::spawn(async move {
-        // The client's next call reports the end of the connection.
-        let _ended = connection.await;
-    });
-    Ok(client)
-}
-
-/// First column of the first row.
-pub async fn value(client: &Client, text: &str) -> Result<Option<String>, tokio_postgres::Error> {
-    let messages = client.simple_query(text).await?;
-    Ok(messages.iter().find_map(|message| match message {
-        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
-        _ => None,
-    }))
-}
-
-/// Token of a caller's session.
-pub async fn token(client: &Client) -> String {
-    let token = value(client, "SHOW limpettally.session").await;
-    token.unwrap().expect("a token")
-}
-
-/// Waits until `probe` gives a value.
-pub async fn eventually<T>(
-    what: &str,
-    limit: Duration,
-    mut probe: impl AsyncFnMut() -> Option<T>,
-) -> T {
-    let started = Instant::now();
-    loop {
-        if let Some(value) = probe().await {
-            return value;
-        }
-        assert!(started.elapsed() < limit, "not within {limit:?}: {what}");
-        sleep(Duration::from_millis(10)).await;
-    }
-}
--- a/tests/system/input.rs
+++ b/tests/system/input.rs
@@ -6,9 +6,11 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::harness::{LIMIT, Options, System, eventually};
+use crate::caller::eventually;
+use crate::harness::{LIMIT, System};
 use crate::load::{Load, Outcome};
 use crate::run;
+use crate::settings::Options;
 
 /// Connections that send nothing.
 const HALF_OPEN: usize = 1000;
--- a/tests/system/load.rs
+++ b/tests/system/load.rs
@@ -7,9 +7,9 @@
 
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
-use tokio_postgres::Client;
 
-use crate::harness::{LIMIT, System, eventually, token};
+use crate::caller::{Caller, eventually, token};
+use crate::harness::{LIMIT, System};
 
 /// SQLSTATE of a write whose outcome is not known.
 pub const UNKNOWN: &str = "08007";
@@ -98,13 +98,13 @@
     }
 }
 
-async fn write(client: Client, entry: usize, record: Rc<Record>) {
+async fn write(client: Caller, entry: usize, record: Rc<Record>) {
     while !record.stop.get() {
         let id = record.next.replace(record.next.get() + 1);
         let result = client
             .execute("INSERT INTO log VALUES ($1, $2)", &[&id, &"load"])
             .await;
-        let outcome = Outcome::of(result);
+        let outcome = client.outcome(result).await;
         let pause = outcome != Outcome::Done;
         if !pause {
             record.done[entry].set(record.done[entry].get() + 1);
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -1,5 +1,6 @@
 //! Failures of real processes, and what callers see of them.
 
+mod caller;
 mod callers;
 mod control;
 mod entries;
@@ -9,6 +10,7 @@
 mod load;
 mod primary;
 mod raw;
+mod settings;
 
 /// Runs a test on one thread.
 fn run(test: impl Future<Output = ()>) {
