Run the relays of the system tests on their own threads

They shared the test's thread, so that reconnecting clients delayed renewals until leases ended. A writer that is told to go also ends now: its next write never left the driver and was taken for a cut one.

--- a/tests/system/entries.rs
+++ b/tests/system/entries.rs
@@ -246,6 +246,7 @@
                 // An entry that has just started has no lease yet.
                 outcome if outcome.is_not_run() => {
                     writes.refused.push(id);
+                    sleep(Duration::from_millis(5)).await;
                     break;
                 }
                 other => panic!("write {id}: {other:?}"),
--- a/tests/system/harness.rs
+++ b/tests/system/harness.rs
@@ -71,7 +71,7 @@
             links: Vec::new(),
         };
         for control in 0..3 {
-            let link = Link::start(system.address("control", control)).await;
+            let link = Link::start(system.address("control", control));
             system.links.push(link);
         }
         drop(held);
--- a/tests/system/link.rs
+++ b/tests/system/link.rs
@@ -36,12 +36,18 @@
 }
 
 impl Link {
-    /// Starts a relay to `peer`.
-    pub async fn start(peer: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// Starts a relay to `peer`, on a thread of its own: leases would run out if it had to wait for
+    /// the test's clients.
+    pub fn start(peer: SocketAddr) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
+        listener.set_nonblocking(true).unwrap();
         let (cut, state) = watch::channel(BTreeSet::new());
-        spawn_local(accept(listener, peer, state));
+        std::thread::spawn(move || {
+            crate::run(async move {
+                accept(TcpListener::from_std(listener).unwrap(), peer, state).await;
+            });
+        });
         Self { address, cut }
     }
 
--- a/tests/system/load.rs
+++ b/tests/system/load.rs
@@ -41,9 +41,14 @@
         }
     }
 
+    /// Whether the entry stops and the caller has to connect again.
+    pub fn is_told_to_go(&self) -> bool {
+        *self == Self::Refused("57P01".to_owned())
+    }
+
     /// Whether the caller was told that the write did not run.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::Refused(code) if code.starts_with("57L") || code == "57P01")
+        self.is_told_to_go() || matches!(self, Self::Refused(code) if code.starts_with("57L"))
     }
 }
 
@@ -106,11 +111,12 @@
             .await;
         let outcome = client.outcome(result).await;
         let pause = outcome != Outcome::Done;
+        let gone = outcome.is_told_to_go();
         if !pause {
             record.done[entry].set(record.done[entry].get() + 1);
         }
         record.outcomes.borrow_mut().insert(id, outcome);
-        if client.is_closed() {
+        if gone || client.is_closed() {
             return;
         }
         if pause {
