Test planned switches and retirement with real processes

Cause: moving live work off a target is what the system is for, and no test covered it with processes.

Change: tests of a planned switch and of a draining primary under load through every entry, of an open transaction, and of a leaving target that is frozen 2 s after its mark.

--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod primary;
 mod raw;
+mod retire;
 mod settings;
 
 /// Runs a test on one thread.
--- a/tests/system/settings.rs
+++ b/tests/system/settings.rs
@@ -4,7 +4,7 @@
 
 use crate::harness::System;
 
-const TOKEN: &str = "system-test-token-0123456789";
+pub const TOKEN: &str = "system-test-token-0123456789";
 const DOMAINS: [&str; 3] = ["catania", "ragusa", "enna"];
 
 /// What a test may choose.
