Let the next leader finish a promotion that is already done

Cause: a target that was promoted by a leader that then died reported the start of its term as 0.

Change: the start of a promotion found done is the chosen position, unless the target has less than that.

--- a/components/control/src/act.rs
+++ b/components/control/src/act.rs
@@ -6,7 +6,7 @@
 use failover::{Action, Reason};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use types::Name;
+use types::{Lsn, Name};
 
 use crate::event::Event;
 use crate::process::{Loop, Waiter};
@@ -43,8 +43,10 @@
                     let Some(address) = self.address(&database, &target) else {
                         continue;
                     };
+                    let chosen = self.catalog.database(database.as_str());
+                    let chosen = chosen.map_or(Lsn(0), |database| database.point().lsn);
                     start(&self.events, "promote", async move {
-                        let (term, start) = address.promote(term).await?;
+                        let (term, start) = address.promote(term, chosen).await?;
                         Ok(Event::Promoted {
                             database,
                             target,
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -16,6 +16,6 @@
 mod renewal;
 mod serve;
 mod store;
-mod target;
+pub mod target;
 
 pub use process::run;
--- a/components/control/src/target.rs
+++ b/components/control/src/target.rs
@@ -57,24 +57,24 @@
     }
 
     /// Promotes the target to primary of `term`, unless it is that already, and returns where the
-    /// term began.
+    /// term began. `chosen` is the position that it had when it was chosen.
     ///
     /// # Errors
     /// Fails if the target does not answer in time or is on another term.
-    pub async fn promote(&self, term: Term) -> Result<(Term, Lsn)> {
-        timeout(LIMIT, self.try_promote(term))
+    pub async fn promote(&self, term: Term, chosen: Lsn) -> Result<(Term, Lsn)> {
+        timeout(LIMIT, self.try_promote(term, chosen))
             .await
             .context("promote")?
     }
 
-    async fn try_promote(&self, term: Term) -> Result<(Term, Lsn)> {
+    async fn try_promote(&self, term: Term, chosen: Lsn) -> Result<(Term, Lsn)> {
         let client = self.connect().await?;
         let before = position(&client).await?;
         if !before.recovering {
             // Promoted by an earlier attempt, whose answer was lost with the position before it.
-            // A start that is too low only reports kept writes as lost; one that is too high would
-            // hide lost ones.
-            return Ok((before.point.term, Lsn(0)));
+            // A start that is too low reports kept writes as lost, one that is too high would hide
+            // lost ones; a position below the chosen one means that the disk was emptied.
+            return Ok((before.point.term, chosen.min(before.point.lsn)));
         }
         ensure!(
             before.point.term < term,
