Undo names of statements that a target refused

Cause: a Parse or Close took effect on the caller's names when it was sent, also when an error before it in the series made the target skip it. A later Bind could run a statement that the caller's own connection would not have.

--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -1,11 +1,13 @@
 //! State of one exchange: the answers that are still expected from the target, in order.
 
 use std::collections::VecDeque;
-use std::fmt;
 
 use bytes::BytesMut;
 use pg::{Frame, Invalid, Kind, Message, Status};
 
+use crate::expected::Expected;
+use crate::failure::Failure;
+use crate::naming::Journal;
 use crate::probe;
 use crate::statement::{Id, Names, Prepared, Table};
 
@@ -15,31 +17,6 @@
 /// Name that no statement on a target has; statements there are named by [`Id::name`].
 const UNKNOWN: &str = "limpettally_unknown";
 
-/// An answer that the target owes, or that the entry adds itself.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Expected {
-    /// ParseComplete; the statement becomes prepared. Forwarded if the caller asked for it.
-    Parse { id: Id, forward: bool },
-    /// BindComplete.
-    Bind,
-    /// Up to RowDescription or NoData.
-    Describe,
-    /// Up to CommandComplete, EmptyQueryResponse or PortalSuspended.
-    Execute,
-    /// CloseComplete. Forwarded if the caller asked for it.
-    Close { forward: bool },
-    /// A frame of the entry's own, for a request that the target does not see.
-    Own(&'static [u8]),
-    /// ReadyForQuery after a Sync.
-    Sync,
-    /// Up to ReadyForQuery after a simple query.
-    Simple,
-    /// Up to ReadyForQuery after statements of the entry's own.
-    SetUp,
-    /// Up to ReadyForQuery after the position query; nothing of it is forwarded.
-    Probe,
-}
-
 /// Whether answers are held back.
 #[derive(Debug, Default)]
 enum Hold {
@@ -52,35 +29,6 @@
     On(BytesMut),
 }
 
-/// Why an exchange cannot go on. The target connection must be closed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Failure {
-    /// A frame that the protocol does not allow.
-    Frame(Invalid),
-    /// An answer that was not asked for.
-    Unexpected(u8),
-    /// The answers to a write are larger than can be held back.
-    TooLarge,
-}
-
-impl fmt::Display for Failure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Frame(invalid) => invalid.fmt(f),
-            Self::Unexpected(tag) => write!(f, "unexpected answer {:?}", char::from(*tag)),
-            Self::TooLarge => f.write_str("answers to a write exceed what can be held back"),
-        }
-    }
-}
-
-impl std::error::Error for Failure {}
-
-impl From<Invalid> for Failure {
-    fn from(invalid: Invalid) -> Self {
-        Self::Frame(invalid)
-    }
-}
-
 /// Where an exchange stands after some answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Progress {
@@ -102,6 +50,9 @@
     failed: bool,
     /// After an error the target skips everything up to a Sync that was not sent yet.
     skipping: bool,
+    /// Extended messages were sent and no Sync after them.
+    unsynced: bool,
+    journal: Journal,
     probe: Option<probe::Answer>,
 }
 
@@ -130,6 +81,24 @@
         self.expected.is_empty()
     }
 
+    /// Whether the target skips everything up to a Sync that the caller has not sent yet.
+    #[must_use]
+    pub fn is_skipping(&self) -> bool {
+        self.skipping
+    }
+
+    /// Whether a Sync has to come before the connection can serve another caller.
+    #[must_use]
+    pub fn is_unsynced(&self) -> bool {
+        self.unsynced || self.skipping
+    }
+
+    /// Takes back the names of statements whose preparation or closing was refused or skipped. To be
+    /// called once the answers have arrived, and when they are given up.
+    pub fn settle(&mut self, names: &mut Names, table: &mut Table) {
+        self.journal.settle(names, table);
+    }
+
     /// Holds back completions from now on, until [`Self::take_held`].
     pub fn hold(&mut self) {
         if matches!(self.hold, Hold::Off) {
@@ -177,13 +146,22 @@
             self.skipping = true;
             return Ok(());
         }
+        self.unsynced = !matches!(message, Message::Sync | Message::Query(_));
         match message {
-            Message::Query(_) => self.pass(frame, Expected::Simple, out),
+            Message::Query(_) => {
+                // A simple query takes the place of the unnamed statement.
+                self.journal.remove(b"", names);
+                self.pass(frame, Expected::Simple, out);
+            }
             Message::Parse { name, text, types } => {
-                let id = table.acquire(text, types);
-                if let Some(old) = names.set(name, id) {
-                    table.release(old);
+                if !name.is_empty() && names.get(name).is_some() {
+                    let known = self.ensure(name, names, table, prepared, out);
+                    pg::parse(out, known.as_bytes(), text, types);
+                    self.expected.push_back(Expected::Duplicate);
+                    return Ok(());
                 }
+                let id = table.acquire(text, types);
+                self.journal.set(name, id, names);
                 if prepared.has(id) {
                     self.expected.push_back(Expected::Own(pg::PARSE_COMPLETE));
                 } else {
@@ -207,9 +185,7 @@
             Message::Describe(Kind::Portal, _) => self.pass(frame, Expected::Describe, out),
             Message::Execute => self.pass(frame, Expected::Execute, out),
             Message::Close(Kind::Statement, name) => {
-                if let Some(old) = names.remove(name) {
-                    table.release(old);
-                }
+                self.journal.remove(name, names);
                 self.expected.push_back(Expected::Own(pg::CLOSE_COMPLETE));
             }
             Message::Close(Kind::Portal, _) => {
@@ -316,7 +292,12 @@
             Some(Expected::Probe | Expected::SetUp) => return Ok(()),
             Some(Expected::Simple) => {}
             // The target skips everything up to the next Sync.
-            Some(_) => self.skip_to_sync(prepared),
+            Some(front) => {
+                if matches!(front, Expected::Parse { forward: true, .. }) {
+                    self.journal.refuse();
+                }
+                self.skip_to_sync(prepared);
+            }
         }
         self.failed = true;
         self.emit(frame, out)
@@ -337,7 +318,11 @@
     fn ready(&mut self, frame: Frame<'_>, out: &mut BytesMut) -> Result<(), Failure> {
         self.status = frame.status()?;
         match self.expected.pop_front() {
-            Some(Expected::Sync | Expected::Simple) => self.emit(frame, out),
+            Some(Expected::Simple) => {
+                self.journal.confirm();
+                self.emit(frame, out)
+            }
+            Some(Expected::Sync) => self.emit(frame, out),
             Some(Expected::Probe | Expected::SetUp) => Ok(()),
             _ => Err(Failure::Unexpected(frame.tag)),
         }
@@ -369,6 +354,9 @@
         };
         if ends {
             self.expected.pop_front();
+            if matches!(expected, Expected::Parse { forward: true, .. }) {
+                self.journal.confirm();
+            }
         }
         if forward {
             self.emit(frame, out)
@@ -384,6 +372,7 @@
     pub fn add_own(&mut self, out: &mut BytesMut) -> Result<(), Failure> {
         while let Some(Expected::Own(raw)) = self.expected.front().copied() {
             self.expected.pop_front();
+            self.journal.confirm();
             self.put(raw, out)?;
         }
         Ok(())
--- /dev/null
+++ b/components/relay/src/failure.rs
@@ -0,0 +1,34 @@
+//! Why an exchange ends its connection.
+
+use std::fmt;
+
+use pg::Invalid;
+
+/// Why an exchange cannot go on. The target connection must be closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// A frame that the protocol does not allow.
+    Frame(Invalid),
+    /// An answer that was not asked for.
+    Unexpected(u8),
+    /// The answers to a write are larger than can be held back.
+    TooLarge,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Frame(invalid) => invalid.fmt(f),
+            Self::Unexpected(tag) => write!(f, "unexpected answer {:?}", char::from(*tag)),
+            Self::TooLarge => f.write_str("answers to a write exceed what can be held back"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+impl From<Invalid> for Failure {
+    fn from(invalid: Invalid) -> Self {
+        Self::Frame(invalid)
+    }
+}
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -2,7 +2,11 @@
 //! which answers are the entry's own, and which are held back until a write is known to be safe.
 
 mod exchange;
+mod expected;
+mod failure;
+mod naming;
 pub mod probe;
 pub mod statement;
 
-pub use exchange::{Exchange, Failure, Progress};
+pub use exchange::{Exchange, Progress};
+pub use failure::Failure;
