Tell callers of a stopping entry before they are removed

Cause: a caller that was due in the turn of its dismissal was removed before the turn's flush, with the 57P01 unsent (231 bytes in a trace). By reading: a login that ended after SIGTERM was taken as a caller and could be cut by the exit; bytes that arrived after the 57P01 in the same turn were still run; a closing caller with a backlog was never removed once its socket had room. Change: a closing caller starts nothing and goes at the flush; logins during a stop get 57P01. Entry settles the relay's names, and keeps a connection whose target skips to a Sync bound to its caller. Two unused functions are removed.

--- a/components/entry/src/accept.rs
+++ b/components/entry/src/accept.rs
@@ -22,6 +22,8 @@
 const LOGINS: usize = 1;
 /// Time for a cancel connection to a target.
 pub const CANCEL_LIMIT: Duration = Duration::from_secs(5);
+/// What callers are told that have to leave a stopping entry.
+pub const STOPPING: &str = "terminating connection: this entry stops, connect again";
 /// Parameters that drivers rely on, for callers that start before any target has reported its own.
 const DEFAULT_PARAMETERS: [(&str, &str); 7] = [
     ("server_version", "16.0"),
@@ -80,6 +82,10 @@
             rest,
             parameters,
         } = started;
+        if self.stop_at.is_some() {
+            self.metrics.common.refusals.add("stopping");
+            return reject(socket, "57P01", STOPPING);
+        }
         let parameter = |name: &str| {
             let found = parameters.iter().find(|(known, _)| known == name);
             found.map(|(_, value)| value.as_str())
@@ -215,6 +221,8 @@
             return;
         };
         match event {
+            // It was told that its connection ends: nothing it sends after that may run.
+            io::Event::Bytes(_) if caller.closing => return,
             io::Event::Bytes(bytes) if caller.inbox.is_empty() => caller.inbox = bytes,
             io::Event::Bytes(bytes) => caller.inbox.extend_from_slice(&bytes),
             io::Event::Room => {
@@ -223,6 +231,8 @@
                     io::wait_for_room(out, events.clone(), Event::Caller(key, io::Event::Room));
                 });
                 self.pace(key);
+                // One that was only waiting for its last bytes to be sent is removed.
+                self.remove_if_done(key);
                 return;
             }
             io::Event::Closed => return self.on_caller_closed(now, key),
--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -178,7 +178,10 @@
             .observe((now - conn.started).as_secs_f64());
         self.pumped.push(conn.server);
         conn.replay = None;
-        let unsynced = wait.batch.end == End::Flush;
+        let unsynced = exchange.is_unsynced();
+        if let Some(caller) = conn.caller.and_then(|caller| self.callers.get_mut(caller)) {
+            exchange.settle(&mut caller.names, &mut self.statements);
+        }
         let free = status == Status::Idle && !unsynced;
         let caller_key = if free {
             conn.caller.take()
@@ -421,6 +424,11 @@
             return;
         };
         let (caller, wait, replay) = (conn.caller.take(), conn.wait.take(), conn.replay.take());
+        if let Some(exchange) = &mut conn.exchange
+            && let Some(caller) = caller.and_then(|caller| self.callers.get_mut(caller))
+        {
+            exchange.settle(&mut caller.names, &mut self.statements);
+        }
         let forwarded = conn.forwarded;
         let sent_commit = wait.as_ref().zip(caller).is_some_and(|(wait, caller)| {
             self.callers
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -149,12 +149,6 @@
         }
     }
 
-    /// Whether the stream is open.
-    #[must_use]
-    pub fn is_up(&self) -> bool {
-        matches!(self.state, State::Up { .. })
-    }
-
     /// Connections that the entry may have to a target with the given floor.
     #[must_use]
     pub fn quota(&self, now: Instant, target: &Name, floor: u32) -> u32 {
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -32,6 +32,10 @@
         if !matches!(caller.state, State::Idle) {
             return;
         }
+        if caller.closing {
+            // Removed by the flush, once what it was told last is with its socket.
+            return self.dirty_callers.push(key);
+        }
         let next = batch::next(
             &caller.inbox,
             self.settings.max_frame,
@@ -42,9 +46,7 @@
         match next {
             Ok(None) => {
                 caller.handle.resume();
-                if caller.closing {
-                    self.remove_caller(now, key);
-                } else if self.stop_at.is_some() && caller.is_idle() {
+                if self.stop_at.is_some() && caller.is_idle() {
                     self.dismiss(now, key);
                 }
             }
@@ -340,7 +342,8 @@
         conn.caller = Some(key);
         conn.forwarded = false;
         conn.started = now;
-        if caller.may_commit(batch) {
+        // A target that skips to the caller's next Sync would skip the position query too.
+        if caller.may_commit(batch) && !exchange.is_skipping() {
             exchange.hold();
             exchange.ask_position(&mut conn.out);
         }
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -4,7 +4,6 @@
 
 use ahash::HashMap;
 use anyhow::{Context, Result};
-use bytes::BytesMut;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use relay::statement::Table;
@@ -292,13 +291,6 @@
             }
         }
     }
-
-    /// Gives the buffer of bytes for a caller.
-    pub(crate) fn caller_out(&mut self, key: CallerKey) -> Option<&mut BytesMut> {
-        let caller = self.callers.get_mut(key)?;
-        self.dirty_callers.push(key);
-        Some(&mut caller.out)
-    }
 }
 
 fn signer(settings: &settings::Entry) -> Result<Signer> {
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -6,6 +6,7 @@
 use observe::http::{Request, Response};
 use pg::Severity;
 
+use crate::accept::STOPPING;
 use crate::caller::State;
 use crate::event::CallerKey;
 use crate::process::Loop;
@@ -144,8 +145,7 @@
         let Some(caller) = self.callers.get_mut(key) else {
             return;
         };
-        let text = "terminating connection: this entry stops, connect again";
-        pg::error(&mut caller.out, Severity::Fatal, "57P01", text);
+        pg::error(&mut caller.out, Severity::Fatal, "57P01", STOPPING);
         caller.closing = true;
         self.dirty_callers.push(key);
     }
--- a/tests/system/entries.rs
+++ b/tests/system/entries.rs
@@ -181,12 +181,18 @@
         let mut system = System::start(Options::default()).await;
         let addresses = [0, 1, 2].map(|i| system.address("entry", i));
         let stop = Rc::new(Cell::new(false));
+        let count = Rc::new(Cell::new(0));
         let mut clients = Vec::new();
         for client in 0..6_i32 {
-            let stop = Rc::clone(&stop);
-            clients.push(spawn_local(roam(addresses, client, stop)));
+            let (stop, count) = (Rc::clone(&stop), Rc::clone(&count));
+            clients.push(spawn_local(roam(addresses, client, stop, count)));
         }
         for i in 0..3 {
+            let before = count.get();
+            eventually("a load", LIMIT, async || {
+                (count.get() >= before + 50).then_some(())
+            })
+            .await;
             let name = format!("entry-{i}");
             system.signal(&name, "-TERM");
             let status = system.exited(&name, Duration::from_secs(10)).await;
@@ -208,13 +214,17 @@
             writes.done.extend(client.done);
             writes.refused.extend(client.refused);
         }
-        assert!(writes.done.len() > 100, "there was a load");
+        let (done, refused) = (writes.done.len(), &writes.refused);
+        assert!(
+            done > 100,
+            "there was a load: {done} done, refused {refused:?}"
+        );
         let stored = stored(&system, 0).await;
         for id in writes.done {
             assert_eq!(stored.get(&id), Some(&1), "write {id}");
         }
-        for id in writes.refused {
-            assert_eq!(stored.get(&id), None, "write {id} was refused as not run");
+        for (id, outcome) in writes.refused {
+            assert_eq!(stored.get(&id), None, "write {id}: {outcome:?}");
         }
     });
 }
@@ -223,11 +233,16 @@
 #[derive(Debug, Default)]
 struct Writes {
     done: Vec<i32>,
-    refused: Vec<i32>,
+    refused: Vec<(i32, Outcome)>,
 }
 
 /// Writes until told to stop, at the next entry whenever one tells it to go.
-async fn roam(addresses: [SocketAddr; 3], client: i32, stop: Rc<Cell<bool>>) -> Writes {
+async fn roam(
+    addresses: [SocketAddr; 3],
+    client: i32,
+    stop: Rc<Cell<bool>>,
+    count: Rc<Cell<usize>>,
+) -> Writes {
     let mut writes = Writes::default();
     let mut at = client as usize;
     let mut ids = client * 1_000_000..;
@@ -242,10 +257,13 @@
             let id = ids.next().unwrap();
             let write = format!("INSERT INTO log VALUES ({id}, 'roam')");
             match caller.outcome(caller.simple_query(&write).await).await {
-                Outcome::Done => writes.done.push(id),
+                Outcome::Done => {
+                    writes.done.push(id);
+                    count.set(count.get() + 1);
+                }
                 // An entry that has just started has no lease yet.
                 outcome if outcome.is_not_run() => {
-                    writes.refused.push(id);
+                    writes.refused.push((id, outcome));
                     sleep(Duration::from_millis(5)).await;
                     break;
                 }
--- a/tests/system/load.rs
+++ b/tests/system/load.rs
@@ -104,11 +104,15 @@
 }
 
 async fn write(client: Caller, entry: usize, record: Rc<Record>) {
+    // Prepared once: when the driver drops a statement it closes it on the server and discards the
+    // answer, which may be the one that tells the caller to go.
+    let insert = client
+        .prepare("INSERT INTO log VALUES ($1, $2)")
+        .await
+        .unwrap();
     while !record.stop.get() {
         let id = record.next.replace(record.next.get() + 1);
-        let result = client
-            .execute("INSERT INTO log VALUES ($1, $2)", &[&id, &"load"])
-            .await;
+        let result = client.execute(&insert, &[&id, &"load"]).await;
         let outcome = client.outcome(result).await;
         let pause = outcome != Outcome::Done;
         let gone = outcome.is_told_to_go();
