Check that callers of a stopping entry get 57P01

An idle caller was only checked for the end of its connection. The frozen write goes as one message now, so that it is on its way before the freeze.

--- a/tests/system/entries.rs
+++ b/tests/system/entries.rs
@@ -44,7 +44,7 @@
             .unwrap();
         let write = spawn_local(async move {
             writer
-                .execute("UPDATE one SET v = v + 10 WHERE id = 1", &[])
+                .simple_query("UPDATE one SET v = v + 10 WHERE id = 1")
                 .await
         });
         // Answered after the write's bytes, on the entry's one thread.
@@ -151,10 +151,11 @@
                 .expect("an open transaction commits");
         }
         for caller in idle.iter().chain(&open) {
-            let closed = eventually("the end of the connection", LIMIT, async || {
-                caller.is_closed().then_some(())
-            });
-            closed.await;
+            let told = caller.outcome(caller.simple_query("SELECT 1").await).await;
+            assert!(
+                told.is_told_to_go(),
+                "a caller between transactions: {told:?}"
+            );
         }
         let status = system.exited("entry-0", Duration::from_secs(10)).await;
         assert_eq!(status.expect("it ends").code(), Some(0));
