--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -34,6 +34,10 @@
         if !matches!(caller.state, State::Idle) {
             return;
         }
+        if caller.closing {
+            // Removed by the flush, once what it was told last is with its socket.
+            return self.dirty_callers.push(key);
+        }
         let next = batch::next(
             &caller.inbox,
             self.settings.max_frame,
@@ -44,9 +48,7 @@
         match next {
             Ok(None) => {
                 caller.handle.resume();
-                if caller.closing {
-                    self.remove_caller(now, key);
-                } else if self.stop_at.is_some() && caller.is_idle() {
+                if self.stop_at.is_some() && caller.is_idle() {
                     self.dismiss(now, key);
                 }
             }
@@ -346,7 +348,8 @@
         conn.forwarded = false;
         conn.started = now;
         self.budget.on_request(now);
-        if caller.may_commit(batch) {
+        // A target that skips to the caller's next Sync would skip the position query too.
+        if caller.may_commit(batch) && !exchange.is_skipping() {
             exchange.hold();
             exchange.ask_position(&mut conn.out);
         }
