Generate the settings reference from the schema

Operators had no page of the settings, and one written by hand would fall behind the schema. xtask writes docs/settings.md from schema/settings/*.json, and xtask check fails when the page is stale: after one word of the page was changed by hand, the check named docs/settings.md.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,4 +1,5 @@
-//! Generates the Rust code of messages and settings from `schema/`, or checks that it is current.
+//! Generates the Rust code of messages and settings and the settings reference from `schema/`, or
+//! checks that they are current.
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -7,6 +8,7 @@
 use anyhow::{Context, Result, bail};
 
 mod messages;
+mod reference;
 mod settings;
 mod tree;
 
@@ -21,6 +23,7 @@
     messages::generate(root, &mut files)?;
     settings::generate(root, &mut files)?;
     tree::generate(root, &mut files)?;
+    reference::generate(root, &mut files)?;
     match std::env::args().nth(1).as_deref() {
         Some("generate") => write(root, &files),
         Some("check") => check(root, &files),
