--- a/examples/caller.rs
+++ b/examples/caller.rs
@@ -15,7 +15,7 @@
     NotRun,
     /// It may be done or not; look before it is sent again.
     Unknown,
-    /// The target refused it, as any database server may.
+    /// Any other error, such as one of the target's own; nothing was kept.
     Failed,
 }
 
