Fail the COMMIT of a transaction whose target was lost

Cause: with BEGIN, INSERT, the primary killed and COMMIT, the entry answered ROLLBACK without an error, although the caller had seen none; a driver reports that as success, and the row was missing. COMMIT followed by other statements in one text was answered as one ROLLBACK, and the rest was dropped without a word.

Change: the first statement after the loss gets 57L09, a COMMIT included; only a text with nothing but the end of the transaction ends it.

--- a/components/entry/src/accept.rs
+++ b/components/entry/src/accept.rs
@@ -136,6 +136,7 @@
             status: Status::Idle,
             transaction: None,
             bound: None,
+            unreported_loss: false,
             unsynced: false,
             unsynced_wrote: false,
             closing: false,
--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -25,7 +25,7 @@
 /// SQLSTATE of a write whose outcome is not known.
 const UNKNOWN: &str = "08007";
 /// SQLSTATE of a statement that a lost target took with it, without effect.
-const TARGET_LOST: &str = "57L09";
+pub const TARGET_LOST: &str = "57L09";
 /// Length of a ReadyForQuery, which ends every answer that is held back.
 const READY_BYTES: usize = 6;
 
@@ -450,7 +450,7 @@
         caller.bound = None;
         let Some(wait) = wait else {
             // Between two batches of a transaction: the caller hears of it at its next batch.
-            caller.status = Status::Failed;
+            caller.unreported_loss = caller.transaction.is_some();
             if caller.unsynced {
                 caller.closing = true;
                 self.dirty_callers.push(caller_key);
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -94,6 +94,8 @@
     /// Connection of the open transaction or series. None while `transaction` is set means that the
     /// transaction's target was lost.
     pub bound: Option<ConnKey>,
+    /// The target of the open transaction was lost, and the caller has not been told yet.
+    pub unreported_loss: bool,
     /// A series of extended messages was flushed and its Sync has not come yet. Invariant: `bound`
     /// is set meanwhile.
     pub unsynced: bool,
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -10,6 +10,7 @@
 use tokio::task::spawn_local;
 use types::Term;
 
+use crate::answer::TARGET_LOST;
 use crate::batch::{self, Batch, End, Own};
 use crate::caller::{Caller, State, Wait, Weight};
 use crate::event::{CallerKey, ConnKey, Event};
@@ -399,24 +400,37 @@
         self.ready.push(key);
     }
 
-    /// Answers a batch in a transaction whose target was lost: only its end is accepted, so that no
-    /// later statement runs outside the transaction that its caller believes to be in.
+    /// Answers a batch in a transaction whose target was lost. No statement may run outside the
+    /// transaction that its caller believes to be in, and a COMMIT fails unless an earlier
+    /// statement was refused: the caller would take its completion for that of its writes.
     fn answer_lost(&mut self, now: Instant, key: CallerKey, batch: &Batch) {
         let Some(caller) = self.callers.get_mut(key) else {
             return;
         };
-        if batch.work.commits || batch.work.rolls_back {
+        let work = &batch.work;
+        if work.statements == 0 {
+            return self.answer_own(now, key, batch);
+        }
+        let unreported = std::mem::take(&mut caller.unreported_loss);
+        let ends = work.statements == 1 && (work.commits || work.rolls_back);
+        if ends && work.executes {
             caller.transaction = None;
             caller.status = Status::Idle;
+        } else if unreported {
+            caller.status = Status::Failed;
+        }
+        if unreported && !work.rolls_back {
+            let text =
+                "not run: the target of the transaction was lost, and nothing of it was kept";
+            return self.refuse_batch(now, key, batch, "transaction_lost", TARGET_LOST, text);
+        }
+        if ends {
             let mut batch = batch.clone();
             batch.work.own = Some(Own::Rollback);
             return self.answer_own(now, key, &batch);
         }
-        if batch.work.statements == 0 {
-            return self.answer_own(now, key, batch);
-        }
         let text =
-            "current transaction is aborted: its target was lost, and nothing of it was kept";
+            "current transaction is aborted, commands ignored until end of transaction block";
         self.refuse_batch(
             now,
             key,
--- a/tests/system/primary.rs
+++ b/tests/system/primary.rs
@@ -58,3 +58,66 @@
         check(&outcomes, &stored(&system, 2).await);
     });
 }
+
+/// A transaction whose primary is killed between two statements must not look committed: its caller
+/// has seen no error yet, and takes a COMMIT that succeeds for that of its writes.
+#[test]
+fn commit_of_a_lost_transaction_fails() {
+    run(async {
+        let mut system = System::start(Options::default()).await;
+        let client = system.connect(1, None).await.unwrap();
+        let begin = "BEGIN; INSERT INTO log VALUES (1, 'lost')";
+        client.batch_execute(begin).await.unwrap();
+        let primary = system.primary().await;
+        system.kill(&format!("target-{primary}"));
+        let commit = crate::caller::eventually("the loss is noticed", LIMIT, async || {
+            // A statement that reaches the entry before it has noticed the loss gets an error too.
+            Some(client.batch_execute("COMMIT").await)
+        });
+        let commit = commit.await.expect_err("the COMMIT of a lost transaction");
+        let code = commit.code().map(|code| code.code().to_owned());
+        assert!(
+            matches!(code.as_deref(), Some("57L09" | "08007")),
+            "{commit:?}"
+        );
+        // The caller is outside of any transaction again.
+        let write = "INSERT INTO log VALUES (2, 'after')";
+        crate::caller::eventually("a write after the change", LIMIT, async || {
+            client.batch_execute(write).await.ok()
+        })
+        .await;
+        assert_eq!(stored(&system, 2).await.get(&1), None);
+    });
+}
+
+/// In a transaction whose target was lost, no later statement may run on its own: the caller would
+/// take it for part of the transaction.
+#[test]
+fn statements_of_a_lost_transaction_do_not_run() {
+    run(async {
+        let mut system = System::start(Options::default()).await;
+        let client = system.connect(1, None).await.unwrap();
+        let begin = "BEGIN; INSERT INTO log VALUES (1, 'lost')";
+        client.batch_execute(begin).await.unwrap();
+        let load = Load::start(&system, &ALL).await;
+        let primary = system.primary().await;
+        system.kill(&format!("target-{primary}"));
+        load.progress("writes after the change", &ALL, 20, LIMIT)
+            .await;
+        drop(load.stop().await);
+        for (text, code) in [
+            ("INSERT INTO log VALUES (-2, 'lost')", "57L09"),
+            ("INSERT INTO log VALUES (-3, 'lost')", "25P02"),
+            ("COMMIT; INSERT INTO log VALUES (-4, 'lost')", "25P02"),
+        ] {
+            let error = client.batch_execute(text).await.unwrap_err();
+            assert_eq!(error.code().unwrap().code(), code, "{text}");
+        }
+        client.batch_execute("ROLLBACK").await.unwrap();
+        let stored = stored(&system, 2).await;
+        assert!(
+            [-2, -3, -4].iter().all(|id| !stored.contains_key(id)),
+            "{stored:?}"
+        );
+    });
+}
