Let old primaries follow, and leaving win over contradictions

Cause: an old primary was pointed at the new one only if it announced itself as a replica. After two planned switches no replica was left, and the next failure stalled for good (seen by hand). Entries that heard different announcements of one target made the catalog change with each renewal. The control process shared a counter between tasks and ended without regard to changes under way.

Change: every other member is pointed at the primary until it takes the command; leaving counts for 2 s after the last renewal that had it; stream numbers come from the listener; control waits for changes under way, up to stop_timeout_ms.

--- a/components/control/src/event.rs
+++ b/components/control/src/event.rs
@@ -18,6 +18,8 @@
     PeerOpen(Name, mpsc::Sender<wire::Peer>),
     /// A dial of a control instance failed, or the stream to it has ended.
     PeerClosed(Name),
+    /// A stream from a control instance has ended; that instance opens the next one.
+    PeerEnded,
     /// A message of a control instance.
     Peer(wire::Peer),
     /// An entry opened a stream.
--- a/components/control/src/lead.rs
+++ b/components/control/src/lead.rs
@@ -13,6 +13,8 @@
 
 /// Interval of the steps of a database that is changing its primary.
 const ACTIVE: Duration = Duration::from_millis(20);
+/// How long an announced `leaving` counts after the last renewal that had it; several renewals.
+const LEAVING: Duration = Duration::from_secs(2);
 /// Interval of the steps of every database.
 const STEADY: Duration = Duration::from_millis(250);
 
@@ -89,6 +91,8 @@
     steady_at: Instant,
     /// Announcements proposed and not applied yet, so that each is proposed once.
     proposed: BTreeMap<Name, Announcement>,
+    /// Until when a target counts as announced to be leaving.
+    leaving: BTreeMap<Name, Instant>,
     /// Entries whose enrolment is proposed.
     enrolling: BTreeSet<Name>,
 }
@@ -116,6 +120,7 @@
             active_at: now,
             steady_at: now,
             proposed: BTreeMap::new(),
+            leaving: BTreeMap::new(),
             enrolling: BTreeSet::new(),
         };
         lead.on_catalog(catalog);
@@ -217,14 +222,22 @@
     }
 
     /// Whether an announcement has to be proposed now.
-    pub fn wants(&mut self, announcement: &Announcement, catalog: &Catalog) -> bool {
-        if !catalog.is_news(announcement)
-            || self.proposed.get(&announcement.target) == Some(announcement)
-        {
+    ///
+    /// An owner may say `leaving` to some entries only, or the target and its owner may contradict
+    /// each other. `leaving` wins while any entry hears it; otherwise the catalog would change with
+    /// each renewal.
+    pub fn wants(&mut self, now: Instant, announcement: &Announcement, catalog: &Catalog) -> bool {
+        let target = &announcement.target;
+        if announcement.leaving {
+            self.leaving.insert(target.clone(), now + LEAVING);
+        } else if self.leaving.get(target).is_some_and(|until| now < *until) {
             return false;
         }
-        self.proposed
-            .insert(announcement.target.clone(), announcement.clone());
+        let proposed = self.proposed.get(target) == Some(announcement);
+        if proposed || !catalog.is_news(announcement) {
+            return false;
+        }
+        self.proposed.insert(target.clone(), announcement.clone());
         true
     }
 
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -65,7 +65,8 @@
     pub(crate) applied: u64,
     pub(crate) compacted: u64,
     pub(crate) greeting_at: Instant,
-    pub(crate) stopping: bool,
+    /// Set by SIGTERM: when the process ends although operators' changes wait for their commit.
+    pub(crate) stop_at: Option<Instant>,
 }
 
 /// Runs a control process until it is told to stop.
@@ -103,43 +104,39 @@
 }
 
 fn accept_streams(listener: TcpListener, events: mpsc::Sender<Event>) {
-    let next = std::cell::Cell::new(0);
-    let next = std::rc::Rc::new(next);
-    spawn_local(link::listen(listener, move |path, stream| {
+    spawn_local(link::listen(listener, move |path, number, stream| {
         let events = events.clone();
         match path {
             link::PEER => {
-                // Answers go over the stream that this side opens; the sender is kept so that
-                // this one stays open.
-                let (keep, outgoing) = mpsc::channel::<wire::Peer>(1);
-                spawn_local(async move {
-                    let wrap = |event| match event {
-                        link::Event::Message(message) => Event::Peer(message),
-                        link::Event::Closed(_) => Event::CommandFailed("peer_stream"),
-                    };
-                    stream.run(outgoing, events, wrap).await;
-                    drop(keep);
-                });
-                true
+                spawn_local(receive(stream, events));
             }
             link::ENTRY => {
-                let id = StreamId(next.get());
-                next.set(id.0 + 1);
+                let id = StreamId(number);
                 let (out, outgoing) = mpsc::channel(ENTRY_OUT);
                 spawn_local(async move {
                     if events.send(Event::EntryOpen(id, out)).await.is_ok() {
-                        stream
-                            .run(outgoing, events, move |event| Event::Entry(id, event))
-                            .await;
+                        let wrap = move |event| Event::Entry(id, event);
+                        stream.run(outgoing, events, wrap).await;
                     }
                 });
-                true
             }
-            _ => false,
+            _ => {}
         }
     }));
 }
 
+/// Receives from another control instance. Answers go over the stream that this side opens; the
+/// sender is kept so that this one stays open.
+async fn receive(stream: link::Stream, events: mpsc::Sender<Event>) {
+    let (keep, outgoing) = mpsc::channel::<wire::Peer>(1);
+    let wrap = |event| match event {
+        link::Event::Message(message) => Event::Peer(message),
+        link::Event::Closed(_) => Event::PeerEnded,
+    };
+    stream.run(outgoing, events, wrap).await;
+    drop(keep);
+}
+
 impl Loop {
     fn new(
         settings: settings::Control,
@@ -191,7 +188,7 @@
             applied,
             compacted: applied,
             greeting_at: now,
-            stopping: false,
+            stop_at: None,
         };
         state.keep_peers(now);
         Ok(state)
@@ -217,7 +214,14 @@
         }
         self.on_tick(now)?;
         self.disk.start(&self.events, Event::Disk);
-        Ok(!self.stopping)
+        Ok(!self.is_stopped(now))
+    }
+
+    /// Whether a stopping process has answered every operator, or has no time left.
+    fn is_stopped(&self, now: Instant) -> bool {
+        let waits = |(_, waiter): &(Epoch, Waiter)| matches!(waiter, Waiter::Reply(_));
+        let done = !self.waiting.values().any(waits);
+        self.stop_at.is_some_and(|stop_at| done || stop_at <= now)
     }
 
     fn deadline(&self) -> Instant {
@@ -227,6 +231,7 @@
             self.lead.as_ref().map(Lead::deadline),
             self.confirm_at(),
             Some(self.greeting_at),
+            self.stop_at,
         ];
         due.into_iter().flatten().min().unwrap_or(self.greeting_at)
     }
@@ -282,10 +287,10 @@
                     machine.on_following(&target, &primary, &self.catalog);
                 }
             }
-            Event::CommandFailed("peer_stream") => {}
+            Event::PeerEnded => {}
             Event::CommandFailed(reason) => self.metrics.common.retries.add(reason),
             Event::Http(request) => self.on_request(now, request)?,
-            Event::Stop => self.stopping = true,
+            Event::Stop => self.stop_at = Some(now + self.settings.stop_timeout),
         }
         Ok(())
     }
--- a/components/control/src/serve.rs
+++ b/components/control/src/serve.rs
@@ -107,7 +107,7 @@
             proposals.push(Command::Enroll { instance, domain });
         }
         for announcement in &checked.announcements {
-            if lead.wants(announcement, &self.catalog) {
+            if lead.wants(now, announcement, &self.catalog) {
                 proposals.push(Command::Announce(announcement.clone()));
             }
         }
--- a/components/failover/src/step.rs
+++ b/components/failover/src/step.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use catalog::{Catalog, Command, Database, Phase};
-use types::target::{Role, State};
+use types::target::State;
 use types::{Lsn, Name, Point, Term};
 
 use crate::change::{Action, Reason, Signals, Stage};
@@ -193,10 +193,10 @@
         if !due(&mut self.work.followed, self.now, REPEAT) {
             return;
         }
-        for (target, known) in self.catalog.members(self.name.as_str()) {
-            // An old primary that came back can't follow before it is a replica.
-            let replica = known.announcement().role == Role::Replica;
-            if target != primary && replica && !self.work.following.contains(target) {
+        for (target, _) in self.catalog.members(self.name.as_str()) {
+            // An old primary gets the setting as well: a server applies it when it starts as a
+            // replica, and it is needed as one for the next change.
+            if target != primary && !self.work.following.contains(target) {
                 self.out.push(Action::Follow {
                     target: target.clone(),
                     primary: primary.clone(),
--- a/components/link/src/stream.rs
+++ b/components/link/src/stream.rs
@@ -79,27 +79,25 @@
     })
 }
 
-/// Accepts streams for ever; `accept` gets the path of each and starts a task for it, or returns
-/// false to refuse it.
-pub async fn listen(
-    listener: TcpListener,
-    accept: impl Fn(&str, Stream) -> bool + Clone + 'static,
-) {
-    loop {
+/// Accepts streams for ever. `accept` gets the path of each and a number that no other stream has,
+/// and starts a task for it; a stream that it drops is refused.
+pub async fn listen(listener: TcpListener, accept: impl Fn(&str, u64, Stream) + Clone + 'static) {
+    for connection in 0.. {
         let Ok((socket, _)) = listener.accept().await else {
             // Out of descriptors: connections that end free some.
             tokio::time::sleep(Duration::from_millis(100)).await;
             continue;
         };
         let accept = accept.clone();
+        let first = connection * u64::from(MAX_STREAMS);
         spawn_local(async move {
             // A failed connection ends its streams, which report it.
-            let _ended = serve(socket, accept).await;
+            let _ended = serve(socket, first, accept).await;
         });
     }
 }
 
-async fn serve(socket: TcpStream, accept: impl Fn(&str, Stream) -> bool) -> Result<()> {
+async fn serve(socket: TcpStream, first: u64, accept: impl Fn(&str, u64, Stream)) -> Result<()> {
     socket.set_nodelay(true)?;
     let mut builder = h2::server::Builder::new();
     builder
@@ -108,7 +106,12 @@
         .max_concurrent_streams(MAX_STREAMS);
     let handshake = timeout(DIAL_TIMEOUT, builder.handshake::<_, Bytes>(socket));
     let mut connection = handshake.await.context("handshake timeout")??;
+    // Own processes open one stream on a connection.
+    let mut numbers = first..first + u64::from(MAX_STREAMS);
     while let Some(request) = connection.accept().await {
+        let Some(number) = numbers.next() else {
+            bail!("more than {MAX_STREAMS} streams on a connection");
+        };
         let (request, mut respond) = request?;
         let send = respond.send_response(Response::new(()), false)?;
         let path = request.uri().path().to_owned();
@@ -116,7 +119,7 @@
             send,
             receive: request.into_body(),
         };
-        accept(&path, stream);
+        accept(&path, number, stream);
     }
     Ok(())
 }
