Run a portal that an earlier batch bound on its target

Cause: the scan saw no need for a target in a batch of Execute and Sync, so that the entry answered it itself with ROLLBACK: the caller took its write for done and it was never run. A write that is bound in one batch and executed in another counted in neither, so that its commit was acknowledged without a look at the lease, the term and the replicas. Change: an Execute without a Bind in its batch needs the target; a bound write counts as a write.

--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -548,7 +548,7 @@
     /// Follows the transaction after a batch.
     fn note(&mut self, batch: &Batch, status: Status, unsynced: bool) {
         let work = &batch.work;
-        let wrote = work.writes && work.executes;
+        let wrote = work.may_write();
         if unsynced {
             self.unsynced = true;
             self.unsynced_wrote |= wrote;
--- a/components/entry/src/batch.rs
+++ b/components/entry/src/batch.rs
@@ -43,6 +43,8 @@
     pub request: Option<String>,
     /// Whether a statement is executed, and not only prepared.
     pub executes: bool,
+    /// Whether a portal is bound, which a later batch may execute.
+    pub binds: bool,
     /// Number of statements that are the entry's own or need a target.
     pub statements: usize,
     /// Shape of the last statement.
@@ -141,9 +143,16 @@
                 // Preparing needs a target that knows the same tables as the later execution.
                 self.statement(text);
             }
-            Message::Bind { statement, .. } => self.named(statement),
+            Message::Bind { statement, .. } => {
+                self.work.binds = true;
+                self.named(statement);
+            }
             Message::Describe(Object::Statement, name) => self.named(name),
-            Message::Execute => self.work.executes = true,
+            Message::Execute => {
+                self.work.executes = true;
+                // A portal of an earlier batch is with its target.
+                self.work.portal |= !self.work.binds;
+            }
             Message::Describe(Object::Portal, _) | Message::Close(Object::Portal, _) => {
                 self.work.portal = true;
             }
@@ -175,6 +184,12 @@
 }
 
 impl Work {
+    /// Whether a write of the batch runs, here or through a portal in a later batch.
+    #[must_use]
+    pub fn may_write(&self) -> bool {
+        self.writes && (self.executes || self.binds)
+    }
+
     /// Whether the batch changes nothing, so that it may be sent again if its target is lost.
     #[must_use]
     pub fn is_repeatable(&self, in_transaction: bool) -> bool {
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -122,7 +122,7 @@
     #[must_use]
     pub fn may_commit(&self, batch: &Batch) -> bool {
         let work = &batch.work;
-        let wrote = work.writes && work.executes;
+        let wrote = work.may_write();
         match self.transaction {
             Some(transaction) => {
                 work.commits && !transaction.read_only && (transaction.wrote || wrote)
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -3,7 +3,8 @@
 mod accept;
 mod answer;
 mod back;
-mod batch;
+#[doc(hidden)]
+pub mod batch;
 mod caller;
 pub mod control;
 mod database;
--- a/tests/system/caller.rs
+++ b/tests/system/caller.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::ops::Deref;
+use std::ops::{Deref, DerefMut};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -29,6 +29,12 @@
     }
 }
 
+impl DerefMut for Caller {
+    fn deref_mut(&mut self) -> &mut Client {
+        &mut self.client
+    }
+}
+
 impl Caller {
     /// What the caller was told of a statement. An error that arrives between two statements is
     /// given by the driver to the connection alone.
--- a/tests/system/callers.rs
+++ b/tests/system/callers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::BytesMut;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use tokio_postgres::NoTls;
@@ -117,3 +118,67 @@
         }
     });
 }
+
+/// A write through a portal, bound in one batch and executed in the next, must be acknowledged like
+/// any other: with the lease and the replicas looked at, and a position in the session's token.
+#[test]
+fn write_through_a_portal_is_acknowledged_as_a_write() {
+    run(async {
+        let system = System::start(Options::default()).await;
+        let mut caller = system.connect(0, None).await.unwrap();
+        let acknowledged = async || {
+            let count = system
+                .metric("entry", 0, "writes_acknowledged_total ")
+                .await;
+            count.unwrap()
+        };
+        let before = acknowledged().await;
+        let transaction = caller.transaction().await.unwrap();
+        let insert = transaction
+            .prepare("INSERT INTO log VALUES ($1, $2)")
+            .await
+            .unwrap();
+        let portal = transaction.bind(&insert, &[&-6, &"portal"]).await.unwrap();
+        transaction.query_portal(&portal, 0).await.unwrap();
+        transaction.commit().await.unwrap();
+        assert_eq!(acknowledged().await, before + 1);
+        let reader = system
+            .connect(1, Some(&token(&caller).await))
+            .await
+            .unwrap();
+        let found = value(&reader, "SELECT v FROM log WHERE id = -6").await;
+        assert_eq!(found.unwrap().as_deref(), Some("portal"));
+    });
+}
+
+/// After an error a server skips everything up to a Sync, also a simple query. The connection must
+/// stay with its caller until then, or the next caller's statement would be skipped too.
+#[test]
+fn series_without_its_sync_keeps_the_connection() {
+    run(async {
+        let system = System::start(Options::default()).await;
+        let other = system.connect(0, None).await.unwrap();
+        let mut raw = crate::raw::Raw::login(system.address("entry", 0)).await;
+        let mut out = BytesMut::new();
+        pg::parse(&mut out, b"", b"SELECT missing FROM nowhere", &[0, 0]);
+        out.extend_from_slice(b"H\0\0\0\x04");
+        raw.send(&out).await;
+        assert_eq!(raw.next().await.0, b'E');
+        out.clear();
+        pg::query(&mut out, b"SELECT 1");
+        raw.send(&out).await;
+        for i in 0..20 {
+            let read = timeout(LIMIT, value(&other, "SELECT 2")).await;
+            let read = read.unwrap_or_else(|_| panic!("statement {i} of another caller"));
+            assert_eq!(read.unwrap().as_deref(), Some("2"));
+        }
+        out.clear();
+        pg::sync(&mut out);
+        raw.send(&out).await;
+        assert_eq!(
+            raw.next().await,
+            (b'Z', b"I".to_vec()),
+            "the query was skipped"
+        );
+    });
+}
--- a/tests/system/input.rs
+++ b/tests/system/input.rs
@@ -142,7 +142,9 @@
 
 /// Sends bytes after the login and reads until the entry closes; returns what it said.
 async fn send_as_caller(system: &System, frame: &[u8]) -> Vec<u8> {
-    let mut socket = crate::raw::login(system.address("entry", 0)).await;
+    let mut socket = crate::raw::Raw::login(system.address("entry", 0))
+        .await
+        .socket;
     let _sent = socket.write_all(frame).await;
     let mut answer = Vec::new();
     let read = timeout(LIMIT, socket.read_to_end(&mut answer)).await;
--- a/tests/system/raw.rs
+++ b/tests/system/raw.rs
@@ -9,42 +9,60 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
-/// Connects and authenticates; the socket has been read up to the first ReadyForQuery.
-pub async fn login(address: SocketAddr) -> TcpStream {
-    let mut socket = TcpStream::connect(address).await.unwrap();
-    let mut out = BytesMut::new();
-    let parameters = [("user", "demo"), ("database", "orders")];
-    frontend::startup_message(parameters, &mut out).unwrap();
-    let mut scram = ScramSha256::new(b"demo", ChannelBinding::unsupported());
-    let mut inbox = BytesMut::new();
-    loop {
-        socket.write_all(&out).await.unwrap();
-        out.clear();
-        let (tag, body) = next(&mut socket, &mut inbox).await;
-        match (tag, body.get(3)) {
-            (b'R', Some(10)) => {
-                frontend::sasl_initial_response(SCRAM_SHA_256, scram.message(), &mut out).unwrap();
-            }
-            (b'R', Some(11)) => {
-                scram.update(&body[4..]).unwrap();
-                frontend::sasl_response(scram.message(), &mut out).unwrap();
+/// An authenticated caller.
+#[derive(Debug)]
+pub struct Raw {
+    /// Its socket.
+    pub socket: TcpStream,
+    inbox: BytesMut,
+}
+
+impl Raw {
+    /// Connects and authenticates; the socket has been read up to the first ReadyForQuery.
+    pub async fn login(address: SocketAddr) -> Self {
+        let socket = TcpStream::connect(address).await.unwrap();
+        let inbox = BytesMut::new();
+        let mut raw = Self { socket, inbox };
+        let mut out = BytesMut::new();
+        let parameters = [("user", "demo"), ("database", "orders")];
+        frontend::startup_message(parameters, &mut out).unwrap();
+        let mut scram = ScramSha256::new(b"demo", ChannelBinding::unsupported());
+        loop {
+            raw.send(&out).await;
+            out.clear();
+            let (tag, body) = raw.next().await;
+            match (tag, body.get(3)) {
+                (b'R', Some(10)) => {
+                    let first = scram.message();
+                    frontend::sasl_initial_response(SCRAM_SHA_256, first, &mut out).unwrap();
+                }
+                (b'R', Some(11)) => {
+                    scram.update(&body[4..]).unwrap();
+                    frontend::sasl_response(scram.message(), &mut out).unwrap();
+                }
+                (b'R', Some(12)) => scram.finish(&body[4..]).unwrap(),
+                (b'Z', _) => return raw,
+                (b'E', _) => panic!("refused: {}", String::from_utf8_lossy(&body)),
+                _ => {}
             }
-            (b'R', Some(12)) => scram.finish(&body[4..]).unwrap(),
-            (b'Z', _) => return socket,
-            (b'E', _) => panic!("refused: {}", String::from_utf8_lossy(&body)),
-            _ => {}
         }
     }
-}
 
-async fn next(socket: &mut TcpStream, inbox: &mut BytesMut) -> (u8, Vec<u8>) {
-    loop {
-        if let Some(frame) = Frame::first(inbox, 1 << 20).unwrap() {
-            let (tag, body, length) = (frame.tag, frame.body.to_vec(), frame.raw.len());
-            let _taken = inbox.split_to(length);
-            return (tag, body);
+    /// Sends bytes as they are.
+    pub async fn send(&mut self, bytes: &[u8]) {
+        self.socket.write_all(bytes).await.unwrap();
+    }
+
+    /// Type and body of the next message.
+    pub async fn next(&mut self) -> (u8, Vec<u8>) {
+        loop {
+            if let Some(frame) = Frame::first(&self.inbox, 1 << 20).unwrap() {
+                let (tag, body, length) = (frame.tag, frame.body.to_vec(), frame.raw.len());
+                let _taken = self.inbox.split_to(length);
+                return (tag, body);
+            }
+            let read = self.socket.read_buf(&mut self.inbox).await.unwrap();
+            assert!(read > 0, "the entry closed the connection");
         }
-        let read = socket.read_buf(inbox).await.unwrap();
-        assert!(read > 0, "the entry closed the connection");
     }
 }
