--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -7,28 +7,14 @@
 
 use crate::expected::Expected;
 use crate::failure::Failure;
+use crate::hold::Hold;
 use crate::naming::Journal;
 use crate::probe;
 use crate::statement::{Id, Names, Prepared, Table};
 
-/// Most bytes held back for a write's acknowledgement.
-const MAX_HELD: usize = 16 << 20;
-
 /// Name that no statement on a target has; statements there are named by [`Id::name`].
 const UNKNOWN: &str = "limpettally_unknown";
 
-/// Whether answers are held back.
-#[derive(Debug, Default)]
-enum Hold {
-    /// Everything is forwarded.
-    #[default]
-    Off,
-    /// The first completion and all after it are held back.
-    Armed,
-    /// Bytes held back so far.
-    On(BytesMut),
-}
-
 /// Where an exchange stands after some answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Progress {
@@ -81,12 +67,6 @@
         self.expected.is_empty()
     }
 
-    /// Begins the next batch of a transaction: what is known of the last one no longer counts.
-    pub fn begin(&mut self) {
-        self.failed = false;
-        self.probe = None;
-    }
-
     /// Whether the target skips everything up to a Sync that the caller has not sent yet.
     #[must_use]
     pub fn is_skipping(&self) -> bool {
@@ -105,19 +85,20 @@
         self.journal.settle(names, table);
     }
 
+    /// Begins the next batch of a transaction: what is known of the last one no longer counts.
+    pub fn begin(&mut self) {
+        self.failed = false;
+        self.probe = None;
+    }
+
     /// Holds back completions from now on, until [`Self::take_held`].
     pub fn hold(&mut self) {
-        if matches!(self.hold, Hold::Off) {
-            self.hold = Hold::Armed;
-        }
+        self.hold.arm();
     }
 
     /// Ends the holding back and returns the bytes held.
     pub fn take_held(&mut self) -> BytesMut {
-        match std::mem::take(&mut self.hold) {
-            Hold::On(bytes) => bytes,
-            Hold::Off | Hold::Armed => BytesMut::new(),
-        }
+        self.hold.take()
     }
 
     /// Sends statements of the entry's own, whose answers nobody gets.
@@ -129,6 +110,10 @@
     /// Sends a statement in place of the caller's simple query. Its errors are forwarded, and its
     /// completion is replaced by `completion`.
     pub fn substitute(&mut self, text: &str, completion: &'static [u8], out: &mut BytesMut) {
+        if self.skipping {
+            return;
+        }
+        self.unsynced = false;
         pg::query(out, text.as_bytes());
         self.expected.push_back(Expected::Substitute(completion));
     }
@@ -331,11 +316,11 @@
     fn ready(&mut self, frame: Frame<'_>, out: &mut BytesMut) -> Result<(), Failure> {
         self.status = frame.status()?;
         match self.expected.pop_front() {
-            Some(Expected::Simple | Expected::Substitute(_)) => {
+            Some(Expected::Simple) => {
                 self.journal.confirm();
                 self.emit(frame, out)
             }
-            Some(Expected::Sync) => self.emit(frame, out),
+            Some(Expected::Sync | Expected::Substitute(_)) => self.emit(frame, out),
             Some(Expected::Probe | Expected::SetUp) => Ok(()),
             _ => Err(Failure::Unexpected(frame.tag)),
         }
@@ -395,18 +380,13 @@
     }
 
     fn emit(&mut self, frame: Frame<'_>, out: &mut BytesMut) -> Result<(), Failure> {
-        if matches!(self.hold, Hold::Armed) && matches!(frame.tag, b'C' | b'I' | b's' | b'Z') {
-            self.hold = Hold::On(BytesMut::new());
+        if matches!(frame.tag, b'C' | b'I' | b's' | b'Z') {
+            self.hold.begin();
         }
         self.put(frame.raw, out)
     }
 
     fn put(&mut self, raw: &[u8], out: &mut BytesMut) -> Result<(), Failure> {
-        match &mut self.hold {
-            Hold::On(held) if held.len() + raw.len() > MAX_HELD => return Err(Failure::TooLarge),
-            Hold::On(held) => held.extend_from_slice(raw),
-            Hold::Off | Hold::Armed => out.extend_from_slice(raw),
-        }
-        Ok(())
+        self.hold.put(raw, out)
     }
 }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -4,6 +4,7 @@
 mod exchange;
 mod expected;
 mod failure;
+mod hold;
 mod naming;
 pub mod probe;
 pub mod statement;
--- a/components/relay/tests/exchange.rs
+++ b/components/relay/tests/exchange.rs
@@ -126,6 +126,7 @@
     fn run(&mut self, batch: &Batch, splits: &[usize]) -> Result<BytesMut, Failure> {
         let (mut caller, mut target, mut answers) = Default::default();
         let mut exchange = self.exchange.take().unwrap_or_default();
+        exchange.begin();
         if batch.sets_up && exchange.status() == Status::Idle && !exchange.is_unsynced() {
             exchange.set_up("SET x = 1", &mut target);
         }
