Split the entry's loop by concern and answer everyone at a stop's end

Change: ack, lost, queue, refuse and stop are modules of their own; at the deadline waiting statements get 57L05, writes 08007, and every caller 57P01; unused reasons are gone.

--- a/components/entry/src/accept.rs
+++ b/components/entry/src/accept.rs
@@ -67,11 +67,11 @@
         });
     }
 
-    pub(crate) fn on_start(&mut self, now: Instant, outcome: Outcome) {
+    pub(crate) fn on_start(&mut self, _now: Instant, outcome: Outcome) {
         self.starting -= 1;
         match outcome {
             Outcome::Started(started) => self.start_caller(*started),
-            Outcome::Cancel { process, secret } => self.on_cancel(now, process, secret),
+            Outcome::Cancel { process, secret } => self.on_cancel(process, secret),
             Outcome::Refused(reason) => self.metrics.common.refusals.add(reason.as_str()),
         }
     }
@@ -82,7 +82,7 @@
             rest,
             parameters,
         } = started;
-        if self.stop_at.is_some() {
+        if self.stop.is_some() {
             self.metrics.common.refusals.add("stopping");
             return reject(socket, "57P01", STOPPING);
         }
@@ -296,7 +296,7 @@
 
     // --- Cancel -----------------------------------------------------------------------------------
 
-    fn on_cancel(&mut self, now: Instant, process: i32, secret: i32) {
+    fn on_cancel(&mut self, process: i32, secret: i32) {
         let key = self.processes.get(&process).copied();
         let caller = key.and_then(|key| Some((key, self.callers.get(key)?)));
         let Some((key, caller)) = caller.filter(|(_, caller)| caller.secret == secret) else {
@@ -309,7 +309,6 @@
                 self.metrics.cancels.add("waiting");
                 self.withdraw(key);
                 self.refuse(
-                    now,
                     key,
                     "cancelled",
                     "57014",
--- /dev/null
+++ b/components/entry/src/lost.rs
@@ -0,0 +1,137 @@
+//! Connections to targets that are lost or closed, and what their callers are told.
+
+use std::time::Instant;
+
+use bytes::BytesMut;
+use pg::{Severity, Status};
+
+use crate::batch::End;
+use crate::caller::{State, Transaction, Wait};
+use crate::event::{CallerKey, ConnKey};
+use crate::process::Loop;
+use crate::server::Use;
+
+/// Times that a batch is sent again after it provably did not run.
+const MAX_RETRIES: u32 = 2;
+/// SQLSTATE of a statement that a lost target took with it, without effect.
+pub const TARGET_LOST: &str = "57L09";
+
+impl Loop {
+    /// A connection has ended, or can't be used any more.
+    pub(crate) fn on_conn_lost(&mut self, now: Instant, key: ConnKey) {
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
+        let (caller, wait, replay) = (conn.caller.take(), conn.wait.take(), conn.replay.take());
+        if let Some(exchange) = &mut conn.exchange
+            && let Some(caller) = caller.and_then(|caller| self.callers.get_mut(caller))
+        {
+            exchange.settle(&mut caller.names, &mut self.statements);
+        }
+        let forwarded = conn.forwarded;
+        let sent_commit = wait.as_ref().zip(caller).is_some_and(|(wait, caller)| {
+            self.callers
+                .get(caller)
+                .is_some_and(|caller| caller.may_commit(&wait.batch))
+        });
+        self.close_conn(now, key);
+        let Some(caller_key) = caller else { return };
+        let Some(caller) = self.callers.get_mut(caller_key) else {
+            return;
+        };
+        caller.bound = None;
+        let Some(wait) = wait else {
+            // Between two batches of a transaction: the caller hears of it at its next batch.
+            caller.unreported_loss = caller.transaction.is_some();
+            if caller.unsynced {
+                caller.closing = true;
+                self.dirty_callers.push(caller_key);
+            }
+            return;
+        };
+        caller.state = State::Idle;
+        if caller.closing {
+            return self.remove_caller(now, caller_key);
+        }
+        if sent_commit {
+            return self.report_unknown(caller_key, "target_lost");
+        }
+        let replay =
+            replay.filter(|_| !forwarded && wait.retries < MAX_RETRIES && now < wait.deadline);
+        match replay {
+            Some(bytes) if self.budget.spend(now) => self.repeat(now, caller_key, wait, &bytes),
+            _ => self.report_lost(caller_key, &wait),
+        }
+    }
+
+    /// Sends a read again whose target was lost before any of its answer was passed on.
+    pub(crate) fn repeat(&mut self, now: Instant, key: CallerKey, mut wait: Wait, bytes: &[u8]) {
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
+        self.metrics.common.retries.add("read_target_lost");
+        let mut inbox = BytesMut::with_capacity(bytes.len() + caller.inbox.len());
+        inbox.extend_from_slice(bytes);
+        inbox.extend_from_slice(&caller.inbox);
+        caller.inbox = inbox;
+        wait.retries += 1;
+        self.route(now, key, wait);
+    }
+
+    /// Tells a caller that its statement had no effect, since its target was lost.
+    pub(crate) fn report_lost(&mut self, key: CallerKey, wait: &Wait) {
+        self.metrics.common.refusals.add("target_lost");
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
+        let text = "not run: the target was lost, and what the statement did was rolled back";
+        pg::error(&mut caller.out, Severity::Error, TARGET_LOST, text);
+        let begins = wait.batch.work.begins.is_some() && !wait.batch.work.commits;
+        if begins && caller.transaction.is_none() {
+            caller.transaction = Some(Transaction::default());
+        }
+        caller.status = if caller.transaction.is_some() {
+            Status::Failed
+        } else {
+            Status::Idle
+        };
+        if wait.batch.end == End::Flush {
+            caller.skip_to_sync(self.settings.max_frame);
+        } else {
+            pg::ready(&mut caller.out, caller.status);
+        }
+        self.dirty_callers.push(key);
+        self.ready.push(key);
+    }
+
+    /// Closes a connection at once; what it worked on is not reported.
+    pub(crate) fn close_conn(&mut self, now: Instant, key: ConnKey) {
+        let Some(conn) = self.conns.remove(key) else {
+            return;
+        };
+        let server = &mut self.servers[conn.server];
+        if let Some(ticket) = conn.ticket {
+            server.queue.abandon(ticket);
+        }
+        match conn.purpose {
+            Use::Pool(id) => {
+                server.conns.remove(&id);
+                server.pool.on_closed(id);
+                self.pumped.push(conn.server);
+            }
+            Use::Watch => self.on_watch_lost(now, conn.server),
+        }
+    }
+
+    /// Closes an idle connection in an orderly way.
+    pub(crate) fn drop_conn(&mut self, now: Instant, key: ConnKey) {
+        if let Some(conn) = self.conns.get_mut(key)
+            && let Some(handle) = &mut conn.handle
+        {
+            let mut out = BytesMut::new();
+            pg::terminate(&mut out);
+            handle.send(out.freeze(), drop);
+        }
+        self.close_conn(now, key);
+    }
+}
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -6,7 +6,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 
 /// Reasons of the counter `refusals`.
-const REFUSALS: [&str; 29] = [
+const REFUSALS: [&str; 27] = [
     "request_id",
     "queue_full",
     "queue_deadline",
@@ -26,11 +26,9 @@
     "too_many_callers",
     "too_many_starting",
     "unknown_database",
-    "token",
     "session_bound",
     "own_mixed",
     "invalid_frame",
-    "unknown_statement",
     "transaction_lost",
     "target_lost",
     "unauthorized",
@@ -47,7 +45,7 @@
     "stopping",
 ];
 /// Reasons of the counter `retries`.
-const RETRIES: [&str; 2] = ["read_target_lost", "not_started"];
+const RETRIES: [&str; 1] = ["read_target_lost"];
 
 /// Metrics of an entry process.
 #[derive(Debug)]
@@ -94,7 +92,7 @@
             acknowledged: common.counter("writes_acknowledged", "Writes acknowledged"),
             ack_wait: common.histogram(
                 "write_ack_wait_seconds",
-                "From a write's completion on the primary to its acknowledgement",
+                "From a write's completion on the primary to its acknowledgement, or to the report that its outcome is unknown",
                 &SERVICE_SECONDS,
             ),
             service: common.histogram(
--- a/components/entry/src/own.rs
+++ b/components/entry/src/own.rs
@@ -33,7 +33,7 @@
     fn set(&mut self, name: &str, value: &str) -> Result<(), Refusal>;
 }
 
-/// Answers a batch whose only statement is `own`.
+/// Answers a batch whose only statement is `own`. False if the statement was refused.
 pub fn answer<P: Parameters>(
     frames: Frames<'_>,
     own: &Own,
@@ -42,7 +42,8 @@
     table: &mut Table,
     status: Status,
     out: &mut BytesMut,
-) {
+) -> bool {
+    let mut refused = false;
     let mut skip = false;
     for frame in frames.flatten() {
         let Ok(message) = Message::try_from(frame) else {
@@ -54,7 +55,7 @@
         match message {
             Message::Query(_) => {
                 describe(own, out);
-                run(own, parameters, out);
+                refused |= !run(own, parameters, out);
                 pg::ready(out, status);
             }
             Message::Parse { name, text, types } => {
@@ -70,12 +71,16 @@
                 describe_or_none(own, out);
             }
             Message::Describe(Object::Portal, _) => describe_or_none(own, out),
-            Message::Execute => skip = !run(own, parameters, out),
+            Message::Execute => {
+                skip = !run(own, parameters, out);
+                refused |= skip;
+            }
             Message::Close(..) => out.extend_from_slice(pg::CLOSE_COMPLETE),
             Message::Sync => pg::ready(out, status),
             Message::Flush | Message::Copy | Message::Terminate => {}
         }
     }
+    !refused
 }
 
 fn describe(own: &Own, out: &mut BytesMut) {
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -25,6 +25,7 @@
 use crate::io;
 use crate::metrics::Set;
 use crate::server::{Conn, Server};
+use crate::stop::Stop;
 use crate::timer::Timers;
 
 /// Events that wait for the loop; senders wait beyond that.
@@ -80,8 +81,8 @@
     pub(crate) parameters: Vec<(String, String)>,
     /// The lease has run out, as last seen.
     pub(crate) lease_ended: bool,
-    /// Set by SIGTERM: when callers that are left are closed.
-    pub(crate) stop_at: Option<Instant>,
+    /// Set by SIGTERM.
+    pub(crate) stop: Option<Stop>,
 }
 
 /// Runs an entry process until it is told to stop.
@@ -107,7 +108,7 @@
     let mut state = Loop::new(settings, events, now())?;
     tracing::info!(instance = %state.settings.instance, listen = %state.settings.listen, "entry started");
     while state.turn(&mut queue).await {
-        if state.stop_at.is_some() {
+        if state.stop.is_some() {
             accepting.abort();
         }
     }
@@ -180,7 +181,7 @@
             pumped: Vec::new(),
             parameters: Vec::new(),
             lease_ended: false,
-            stop_at: None,
+            stop: None,
         };
         state.restore(now);
         Ok(state)
@@ -209,7 +210,8 @@
     }
 
     async fn wait(&mut self, queue: &mut mpsc::Receiver<Event>) -> Option<Event> {
-        let deadline = [self.timers.next(), self.control.deadline(), self.stop_at];
+        let stop = self.stop.map(Stop::deadline);
+        let deadline = [self.timers.next(), self.control.deadline(), stop];
         match deadline.into_iter().flatten().min() {
             None => queue.recv().await,
             Some(deadline) => tokio::select! {
@@ -253,7 +255,7 @@
     }
 
     /// Sends what the turn has produced, one write a connection.
-    fn flush(&mut self) {
+    pub(crate) fn flush(&mut self) {
         for key in std::mem::take(&mut self.dirty_conns) {
             let Some(conn) = self.conns.get_mut(key) else {
                 continue;
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -1,20 +1,13 @@
-//! Timers, the HTTP endpoint, and the stop.
+//! Timers and the HTTP endpoint.
 
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
 use observe::http::{Request, Response};
-use pg::Severity;
 
-use crate::accept::STOPPING;
-use crate::caller::State;
-use crate::event::CallerKey;
 use crate::process::Loop;
 use crate::timer::Due;
 
-/// How long a stopping entry waits for its last bytes to be sent.
-const FLUSH: Duration = Duration::from_millis(50);
-
 impl Loop {
     pub(crate) fn on_timers(&mut self, now: Instant) {
         while let Some(due) = self.timers.pop(now) {
@@ -47,10 +40,8 @@
         }
     }
 
-    // --- HTTP -------------------------------------------------------------------------------------
-
     pub(crate) fn on_request(&mut self, now: Instant, request: Request) {
-        let ready = if self.stop_at.is_some() {
+        let ready = if self.stop.is_some() {
             Err("stopping")
         } else if self.control.catalog().is_none() {
             Err("no catalog yet")
@@ -125,56 +116,4 @@
             self.control.hasten(now);
         }
     }
-
-    // --- Stop -------------------------------------------------------------------------------------
-
-    /// Begins a graceful stop: what runs goes on, callers between transactions are told to go.
-    pub(crate) fn on_stop(&mut self, now: Instant) {
-        if self.stop_at.is_some() {
-            return;
-        }
-        tracing::info!(callers = self.callers.len(), "stopping");
-        self.stop_at = Some(now + self.settings.stop_timeout);
-        let idle: Vec<CallerKey> = self
-            .callers
-            .iter()
-            .filter(|(_, caller)| caller.is_idle() && caller.inbox.is_empty())
-            .map(|(key, _)| key)
-            .collect();
-        for key in idle {
-            self.dismiss(now, key);
-        }
-    }
-
-    /// Tells a caller between transactions that the entry stops.
-    pub(crate) fn dismiss(&mut self, _now: Instant, key: CallerKey) {
-        let Some(caller) = self.callers.get_mut(key) else {
-            return;
-        };
-        pg::error(&mut caller.out, Severity::Fatal, "57P01", STOPPING);
-        caller.closing = true;
-        self.dirty_callers.push(key);
-    }
-
-    /// Whether a stopping entry has nothing left to do, or no time.
-    pub(crate) fn is_stopped(&mut self, now: Instant) -> bool {
-        let Some(stop_at) = self.stop_at else {
-            return false;
-        };
-        if self.callers.is_empty() && self.starting == 0 && stop_at > now + FLUSH {
-            // The tasks of the last callers still send what they were given.
-            self.stop_at = Some(now + FLUSH);
-            self.control.end();
-            return false;
-        }
-        if now < stop_at {
-            return false;
-        }
-        for caller in self.callers.values() {
-            if !matches!(caller.state, State::Idle) {
-                self.metrics.unknown.add("stopping");
-            }
-        }
-        true
-    }
 }
