--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod primary;
 mod raw;
+mod request;
 mod retire;
 mod settings;
 
