--- /dev/null
+++ b/tests/promises/world.rs
@@ -0,0 +1,314 @@
+//! Control leader and messages; every event of a trace passes through here.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use catalog::{Catalog, Command};
+use control::lead::{Lead, Renewed, Report};
+use failover::{Action, Position};
+use route::Kind;
+use session::{Key, Session, Signer, Token};
+use types::{Name, Point, Revision};
+use wire::{Down, Up};
+
+use crate::back::Back;
+use crate::cluster::Cluster;
+use crate::entry::Entry;
+use crate::event::Event;
+
+pub const DATABASE: &str = "eggs";
+/// Default of `connections.floor`.
+pub const FLOOR: u32 = 2;
+/// Default of `read.max_age_ms`.
+const MAX_AGE: u64 = 10_000;
+
+pub fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+pub struct World {
+    start: Instant,
+    now: Instant,
+    lead: Lead,
+    catalog: Catalog,
+    log: BTreeMap<u64, wire::Command>,
+    entries: BTreeMap<String, Entry>,
+    tokens: BTreeMap<String, String>,
+    signer: Signer,
+    back: Back,
+    cluster: Cluster,
+}
+
+impl World {
+    pub fn new() -> Self {
+        // The leader's grace period is over when the trace starts.
+        let (elected, catalog) = (Instant::now(), Catalog::new(name("azienda")));
+        let now = elected + Duration::from_secs(10);
+        Self {
+            start: now,
+            now,
+            lead: Lead::new(elected, &catalog),
+            catalog,
+            log: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            tokens: BTreeMap::new(),
+            signer: Signer::new(Key::new(1, b"secret of sixteen bytes").unwrap(), None),
+            back: Back::new(now),
+            cluster: Cluster::default(),
+        }
+    }
+
+    /// Carries out an event and returns what was decided.
+    pub fn on_event(&mut self, event: &Event) -> String {
+        self.now = self.instant(event.at);
+        let now = self.now;
+        if let Some(text) = self.cluster.on_event(now, event) {
+            return text;
+        }
+        if event.event == "release" {
+            let entry = &self.entries[&event.entry];
+            return self
+                .back
+                .release(now, event.connection, |term| entry.may(now, term));
+        }
+        if let Some(text) = self.back.on_event(now, event) {
+            return text;
+        }
+        if event.entry.is_empty() {
+            self.on_control(event)
+        } else {
+            self.on_entry(event)
+        }
+    }
+
+    fn instant(&self, at: u64) -> Instant {
+        self.start + Duration::from_millis(at)
+    }
+
+    fn on_control(&mut self, event: &Event) -> String {
+        let now = self.now;
+        match event.event.as_str() {
+            "found" => self.found(&event.entries),
+            "commit" => return self.commit(event.command.clone().unwrap()),
+            "elect" => self.lead = Lead::new(now, &self.catalog),
+            "step" => {
+                let mut out = Vec::new();
+                self.lead.on_tick(now, true, &self.catalog, &mut out);
+                return show(out.into_iter().map(|(_, action)| action));
+            }
+            "position" => {
+                let round = self.catalog.database(DATABASE).unwrap().since();
+                let position = Position {
+                    point: event.point(),
+                    recovering: event.recovering,
+                };
+                let machine = self.lead.machine(&name(DATABASE)).unwrap();
+                machine.on_position(now, &name(&event.target), round, position);
+            }
+            "promoted" => {
+                let (mut out, Point { term, lsn }) = (Vec::new(), event.point());
+                let machine = self.lead.machine(&name(DATABASE)).unwrap();
+                let target = name(&event.target);
+                machine.on_promoted(now, &target, term, lsn, &self.catalog, &mut out);
+                return show(out);
+            }
+            "sum" => {
+                let most = |e: &Entry| e.control.most(now, &name(&event.target), FLOOR);
+                return self.entries.values().map(most).sum::<u32>().to_string();
+            }
+            "wrote" => {
+                let session = event.session.clone().unwrap();
+                let known = self
+                    .tokens
+                    .get(&session)
+                    .map(|text| self.signer.open(text).unwrap());
+                let mut token = known.unwrap_or(Token::new(1));
+                token.advance(&name(DATABASE), event.point()).unwrap();
+                self.tokens.insert(session, self.signer.seal(&token));
+            }
+            other => panic!("no event of control: {other}"),
+        }
+        String::new()
+    }
+
+    fn on_entry(&mut self, event: &Event) -> String {
+        let (now, arrived) = (self.now, self.instant(event.arrived.unwrap_or(event.at)));
+        if event.event == "start" {
+            let entry = Entry::new(now, &name(&event.entry), event.boot);
+            self.entries.insert(event.entry.clone(), entry);
+            return String::new();
+        }
+        let entry = self.entries.get_mut(&event.entry).unwrap();
+        match event.event.as_str() {
+            "dies" => drop(self.entries.remove(&event.entry)),
+            "snapshot" => {
+                let (revision, mut bytes) = (self.catalog.revision().0, Vec::new());
+                self.catalog.encode(&mut bytes).unwrap();
+                return entry.take(
+                    now,
+                    Down::Snapshot {
+                        revision,
+                        catalog: bytes.into(),
+                    },
+                );
+            }
+            "update" => {
+                let (revision, command) = (event.revision, self.log[&event.revision].clone());
+                return entry.take(now, Down::Update { revision, command });
+            }
+            "renew" => return entry.renew(now, event),
+            "arrive" => return self.arrive(event),
+            "grant" => {
+                let grant = entry.grants.remove(&event.seq).unwrap();
+                return entry.take(now, grant);
+            }
+            "acknowledge" => {
+                let verdict = entry.may(now, event.point().term);
+                return verdict.err().unwrap_or("allowed").to_owned();
+            }
+            "revision" => return entry.control.catalog().unwrap().revision().0.to_string(),
+            "observed" => entry.observe(now, &name(&event.target), event.point()),
+            "heard" => drop(entry.heard.insert(name(&event.target))),
+            "read" => {
+                let text = event
+                    .session
+                    .as_ref()
+                    .map(|session| self.tokens[session].as_str());
+                let session = text.map(|text| Session::read(&self.signer, text).unwrap());
+                let session = session.unwrap_or(Session::Known(Token::new(2)));
+                let age = event.max_age.unwrap_or(MAX_AGE);
+                return entry.place(now, arrived, Kind::Read, &session, age);
+            }
+            "write" => {
+                let session = Session::Known(Token::new(2));
+                return entry.place(now, arrived, Kind::Write, &session, MAX_AGE);
+            }
+            other => panic!("no event of an entry: {other}"),
+        }
+        String::new()
+    }
+
+    fn commit(&mut self, raw: wire::Command) -> String {
+        let revision = self.catalog.revision().0 + 1;
+        let command = Command::try_from(raw.clone()).unwrap();
+        self.log.insert(revision, raw);
+        let outcome = self.catalog.apply(Revision(revision), &command);
+        self.lead.on_catalog(&self.catalog);
+        outcome.to_string()
+    }
+
+    /// One database of a primary t1 and replicas t2 and t3, and entries with a lease.
+    fn found(&mut self, entries: &[String]) {
+        for (target, domain) in [("t1", "catania"), ("t2", "ragusa"), ("t3", "enna")] {
+            let role = if target == "t1" {
+                wire::Role::Primary
+            } else {
+                wire::Role::Replica
+            };
+            self.commit(wire::Command::Announce(wire::Announcement {
+                target: target.to_owned(),
+                service: "registro-uova".to_owned(),
+                database: DATABASE.to_owned(),
+                group: "uova".to_owned(),
+                region: "sicilia-est".to_owned(),
+                domain: domain.to_owned(),
+                address: "127.0.0.1:5432".to_owned(),
+                role,
+                leaving: false,
+                connections: 35,
+                slots: 5,
+            }));
+        }
+        for instance in entries {
+            let (instance, domain) = (instance.clone(), "ragusa".to_owned());
+            self.commit(wire::Command::Enroll { instance, domain });
+        }
+        let (database, target) = (DATABASE.to_owned(), "t1".to_owned());
+        self.commit(wire::Command::Open {
+            database,
+            term: 1,
+            target,
+            start: 0,
+        });
+        for entry in entries {
+            for (event, seq) in [
+                ("start", 0),
+                ("snapshot", 0),
+                ("renew", 0),
+                ("arrive", 1),
+                ("grant", 1),
+            ] {
+                let (event, entry) = (event.to_owned(), entry.clone());
+                self.on_entry(&Event {
+                    event,
+                    entry,
+                    seq,
+                    boot: 1,
+                    ..Event::default()
+                });
+            }
+        }
+    }
+
+    /// A renewal reaches the leader, whose answer is kept until its own event.
+    fn arrive(&mut self, event: &Event) -> String {
+        let entry = self.entries.get_mut(&event.entry).unwrap();
+        let renewal = entry.renewals.remove(&event.seq).unwrap();
+        let Up::Renew {
+            seq,
+            age_ms,
+            revision,
+            confirmed,
+            demand,
+            health,
+            ..
+        } = renewal
+        else {
+            panic!("no renewal");
+        };
+        let report = |raw: wire::Health| Report {
+            target: name(&raw.target),
+            point: raw.point.into(),
+            silent: Duration::from_millis(raw.silent_ms.into()),
+        };
+        let renewed = Renewed {
+            seq,
+            age: Duration::from_millis(age_ms),
+            revision: Revision(revision),
+            confirmed,
+            demand: demand
+                .iter()
+                .map(|d| (name(&d.target), d.connections))
+                .collect(),
+            health: health.into_iter().map(report).collect(),
+        };
+        let instance = name(&event.entry);
+        let granted = self
+            .lead
+            .renew(self.now, &instance, entry.boot, &renewed, &self.catalog);
+        let Some(granted) = granted else {
+            return "refused".to_owned();
+        };
+        let quota = |q: lease::quota::Quota| wire::Quota {
+            target: q.target.to_string(),
+            connections: q.connections,
+        };
+        let grant = Down::Grant {
+            seq,
+            ttl_ms: u32::try_from(granted.ttl.as_millis()).unwrap(),
+            revision: self.catalog.revision().0,
+            quotas: granted.quotas.into_iter().map(quota).collect(),
+        };
+        entry.grants.insert(seq, grant);
+        "granted".to_owned()
+    }
+}
+
+/// What the leader proposes, sends to targets or tells operators; queries and figures are left out.
+fn show(actions: impl IntoIterator<Item = Action>) -> String {
+    let shown = actions.into_iter().filter_map(|action| match action {
+        Action::Propose(_) | Action::Promote { .. } | Action::GiveUp(_) => Some(action.to_string()),
+        _ => None,
+    });
+    shown.collect::<Vec<_>>().join("; ")
+}
