Show queries of positions in replayed steps

Two trial mutations of the grants table (a fence that does not wait for older grants, a new leader without a grace period) passed the traces of P2, as a step that asked replicas too early looked like one that did nothing.

--- a/tests/promises/back.rs
+++ b/tests/promises/back.rs
@@ -171,7 +171,9 @@
         may: impl Fn(Term) -> Result<(), &'static str>,
     ) -> String {
         let id = Id(id);
-        let connection = self.used.get_mut(&id).unwrap();
+        let Some(connection) = self.used.get_mut(&id) else {
+            return "nobody".to_owned();
+        };
         let (held, caller) = (connection.exchange.take_held(), connection.caller.clone());
         let answer = connection
             .exchange
--- a/tests/promises/world.rs
+++ b/tests/promises/world.rs
@@ -97,7 +97,12 @@
                 return show(out.into_iter().map(|(_, action)| action));
             }
             "position" => {
-                let round = self.catalog.database(DATABASE).unwrap().since();
+                let since = self.catalog.database(DATABASE).unwrap().since();
+                let round = if event.revision > 0 {
+                    Revision(event.revision)
+                } else {
+                    since
+                };
                 let position = Position {
                     point: event.point(),
                     recovering: event.recovering,
@@ -304,11 +309,12 @@
     }
 }
 
-/// What the leader proposes, sends to targets or tells operators; queries and figures are left out.
+/// What the leader proposes, asks and sends targets, or tells operators.
 fn show(actions: impl IntoIterator<Item = Action>) -> String {
     let shown = actions.into_iter().filter_map(|action| match action {
-        Action::Propose(_) | Action::Promote { .. } | Action::GiveUp(_) => Some(action.to_string()),
-        _ => None,
+        Action::Query { target, .. } => Some(format!("ask {target}")),
+        Action::Follow { .. } | Action::Observe(..) => None,
+        other => Some(other.to_string()),
     });
     shown.collect::<Vec<_>>().join("; ")
 }
