Record a trace of a lease shortened before a leader change

Reading P2 against the catalog shows a fault: Tree::greatest finds earlier values of lease.ttl_ms only among the last 1000 changes, and a change records its new value alone. A new leader therefore counts the leases of the leader before it too short if the longer value was set more than 1000 changes ago.

traces/promises/open holds the trace; its test is ignored with that reason until the catalog is mended.

--- a/tests/promises/cluster.rs
+++ b/tests/promises/cluster.rs
@@ -233,7 +233,7 @@
 }
 
 /// One of many changes of the same key.
-fn set(number: u64, base: u64) -> wire::Command {
+pub fn set(number: u64, base: u64) -> wire::Command {
     let (request, operator) = (format!("change-{number}"), "nunzia".to_owned());
     wire::Command::Set {
         path: "azienda".to_owned(),
--- a/tests/promises/main.rs
+++ b/tests/promises/main.rs
@@ -34,11 +34,10 @@
     wrong
 }
 
-/// Guards against a decision that breaks the promise, and against a promise without a trace.
-#[rstest]
-fn traces_of_a_promise_have_their_outcomes(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9)] promise: u32) {
+/// Replays the traces of a promise in `folder`.
+fn check(folder: &str, promise: u32) {
     let prefix = format!("p{promise}-");
-    let files = std::fs::read_dir("traces/promises").unwrap();
+    let files = std::fs::read_dir(folder).unwrap();
     let paths = files.map(|file| file.unwrap().path());
     let is_own = |path: &Path| {
         path.file_name()
@@ -53,3 +52,17 @@
     let wrong: Vec<_> = own.iter().flat_map(|path| replay(path)).collect();
     assert!(wrong.is_empty(), "\n{}", wrong.join("\n"));
 }
+
+/// Guards against a decision that breaks the promise, and against a promise without a trace.
+#[rstest]
+fn traces_of_a_promise_have_their_outcomes(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9)] promise: u32) {
+    check("traces/promises", promise);
+}
+
+/// Shows the open faults that `docs/promises.md` lists; a trace whose fault is mended moves to the
+/// others.
+#[test]
+#[ignore = "fault in the catalog, see docs/promises.md"]
+fn a_new_leader_waits_for_longer_leases_of_before() {
+    check("traces/promises/open", 2);
+}
--- a/tests/promises/world.rs
+++ b/tests/promises/world.rs
@@ -12,7 +12,7 @@
 use wire::{Down, Up};
 
 use crate::back::Back;
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, set};
 use crate::entry::Entry;
 use crate::event::Event;
 
@@ -90,6 +90,11 @@
         match event.event.as_str() {
             "found" => self.found(&event.entries),
             "commit" => return self.commit(event.command.clone().unwrap()),
+            "commits" => {
+                let base = self.catalog.revision().0;
+                let commits = (1..=event.count).map(|n| self.commit(set(n, base + n - 1)));
+                return commits.last().unwrap();
+            }
             "elect" => self.lead = Lead::new(now, &self.catalog),
             "step" => {
                 let mut out = Vec::new();
