--- a/tests/promises/cluster.rs
+++ b/tests/promises/cluster.rs
@@ -10,6 +10,7 @@
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde_json::json;
 use types::{Name, Revision};
 
 use crate::event::Event;
@@ -164,13 +165,8 @@
     fn tick(&mut self, now: Instant, who: &Name) -> String {
         self.act(now, who, |node, out| node.on_tick(now, out));
         self.settle(now);
-        let role = self.hosts[who].node.role();
-        if role == Role::Leader {
-            "leads"
-        } else {
-            "follows"
-        }
-        .to_owned()
+        let leads = self.hosts[who].node.role() == Role::Leader;
+        if leads { "leads" } else { "follows" }.to_owned()
     }
 
     fn change(&mut self, now: Instant, by: &Name, who: &Name, promote: bool) -> String {
@@ -234,15 +230,10 @@
 
 /// One of many changes of the same key.
 pub fn set(number: u64, base: u64) -> wire::Command {
-    let (request, operator) = (format!("change-{number}"), "nunzia".to_owned());
-    wire::Command::Set {
-        path: "azienda".to_owned(),
-        key: "read.max_age_ms".to_owned(),
-        value: Some(number.to_string()),
-        change: wire::Change {
-            base,
-            request,
-            operator,
-        },
-    }
+    let request = format!("change-{number}");
+    let change = json!({"base": base, "request": request, "operator": "nunzia"});
+    let set = json!({"Set": {
+        "path": "azienda", "key": "read.max_age_ms", "value": number.to_string(), "change": change,
+    }});
+    serde_json::from_value(set).unwrap()
 }
--- a/tests/promises/world.rs
+++ b/tests/promises/world.rs
@@ -7,6 +7,7 @@
 use control::lead::{Lead, Renewed, Report};
 use failover::{Action, Position};
 use route::Kind;
+use serde_json::json;
 use session::{Key, Session, Signer, Token};
 use types::{Name, Point, Revision};
 use wire::{Down, Up};
@@ -207,39 +208,26 @@
         outcome.to_string()
     }
 
+    fn commit_json(&mut self, command: serde_json::Value) {
+        self.commit(serde_json::from_value(command).unwrap());
+    }
+
     /// One database of a primary t1 and replicas t2 and t3, and entries with a lease.
     fn found(&mut self, entries: &[String]) {
         for (target, domain) in [("t1", "catania"), ("t2", "ragusa"), ("t3", "enna")] {
-            let role = if target == "t1" {
-                wire::Role::Primary
-            } else {
-                wire::Role::Replica
-            };
-            self.commit(wire::Command::Announce(wire::Announcement {
-                target: target.to_owned(),
-                service: "registro-uova".to_owned(),
-                database: DATABASE.to_owned(),
-                group: "uova".to_owned(),
-                region: "sicilia-est".to_owned(),
-                domain: domain.to_owned(),
-                address: "127.0.0.1:5432".to_owned(),
-                role,
-                leaving: false,
-                connections: 35,
-                slots: 5,
-            }));
+            let role = if target == "t1" { "Primary" } else { "Replica" };
+            self.commit_json(json!({"Announce": {
+                "target": target, "service": "registro-uova", "database": DATABASE, "group": "uova",
+                "region": "sicilia-est", "domain": domain, "address": "127.0.0.1:5432", "role": role,
+                "leaving": false, "connections": 35, "slots": 5,
+            }}));
         }
         for instance in entries {
-            let (instance, domain) = (instance.clone(), "ragusa".to_owned());
-            self.commit(wire::Command::Enroll { instance, domain });
+            self.commit_json(json!({"Enroll": {"instance": instance, "domain": "ragusa"}}));
         }
-        let (database, target) = (DATABASE.to_owned(), "t1".to_owned());
-        self.commit(wire::Command::Open {
-            database,
-            term: 1,
-            target,
-            start: 0,
-        });
+        self.commit_json(
+            json!({"Open": {"database": DATABASE, "term": 1, "target": "t1", "start": 0}}),
+        );
         for entry in entries {
             for (event, seq) in [
                 ("start", 0),
