--- /dev/null
+++ b/components/replay/src/compare.rs
@@ -0,0 +1,59 @@
+//! Two runs side by side.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use crate::Report;
+
+/// A table of the figures of `first` and `second`.
+#[must_use]
+pub fn compare(first: &Report, second: &Report) -> String {
+    let columns = [figures(first), figures(second)];
+    let mut rows: Vec<&String> = columns.iter().flat_map(BTreeMap::keys).collect();
+    rows.sort_unstable();
+    rows.dedup();
+    let head = |report: &Report| match report.label.as_str() {
+        "" => report.trace.clone(),
+        label => label.to_owned(),
+    };
+    let mut out = format!("{:<48} {:>14} {:>14}\n", "", head(first), head(second));
+    for row in rows {
+        let cell = |column: &BTreeMap<String, f64>| {
+            column
+                .get(row)
+                .map_or("-".to_owned(), |value| format!("{value:.3}"))
+        };
+        // Formatting into a string does not fail.
+        let _written = writeln!(
+            out,
+            "{row:<48} {:>14} {:>14}",
+            cell(&columns[0]),
+            cell(&columns[1])
+        );
+    }
+    out
+}
+
+fn figures(report: &Report) -> BTreeMap<String, f64> {
+    let mut figures = BTreeMap::new();
+    for work in &report.work {
+        let window = if work.window.is_empty() {
+            "all"
+        } else {
+            &work.window
+        };
+        let name = |figure: &str| format!("{window} {} {figure}", work.shape);
+        let refused: u64 = work.not_run.values().sum();
+        figures.insert(name("done"), work.done as f64);
+        figures.insert(name("not run"), refused as f64);
+        figures.insert(name("unknown"), work.unknown as f64);
+        figures.insert(name("p50 ms"), work.p50_us as f64 / 1e3);
+        figures.insert(name("p99 ms"), work.p99_us as f64 / 1e3);
+    }
+    for check in &report.checks {
+        if let Some(value) = check.value {
+            figures.insert(format!("outcome: {}", check.text), value);
+        }
+    }
+    figures
+}
--- /dev/null
+++ b/components/replay/src/lib.rs
@@ -0,0 +1,41 @@
+//! Player of recorded traces against a running system.
+//!
+//! [`Trace`] is what a trace says, [`play`] sends its statements at their intended starts, and
+//! [`Report`] holds the measures of a run. The player starts no process: faults and operators'
+//! changes are written as lines to a file that the starting script reads.
+
+mod caller;
+pub mod command;
+mod compare;
+mod event;
+mod generate;
+mod measure;
+mod outcome;
+mod play;
+mod plot;
+mod prepare;
+mod record;
+mod report;
+mod scrape;
+mod statement;
+mod text;
+mod trace;
+
+#[allow(missing_docs, reason = "generated; the schema holds the comments")]
+#[allow(clippy::use_self, clippy::derivable_impls, reason = "generated")]
+#[allow(clippy::large_enum_variant, reason = "generated")]
+#[rustfmt::skip]
+#[path = "generated.rs"]
+pub mod format;
+
+pub use compare::compare;
+pub use event::{Event, Job, What};
+pub use generate::{NAMES, generate};
+pub use measure::{Gap, gap, quantiles, recovery};
+pub use play::{Addresses, Entry, play};
+pub use plot::plot;
+pub use prepare::prepare;
+pub use record::{Answer, Run, Sample};
+pub use report::{Check, Report};
+pub use statement::outcome;
+pub use trace::Trace;
--- /dev/null
+++ b/components/replay/src/text.rs
@@ -0,0 +1,122 @@
+//! The report as text.
+
+use std::collections::BTreeMap;
+use std::fmt::{self, Display, Formatter};
+
+use crate::report::{Check, Report, Work};
+
+impl Display for Report {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(f, "trace {} {}", self.trace, self.label)?;
+        self.counts(f)?;
+        writeln!(f, "\nreads served by replicas")?;
+        for reads in &self.reads {
+            let share = reads
+                .share()
+                .map_or("no reads".to_owned(), |s| format!("{:.1}%", s * 100.0));
+            let (replica, primary) = (reads.replica, reads.primary);
+            writeln!(
+                f,
+                "  {:<14} {share} (replicas {replica}, primaries {primary})",
+                reads.window
+            )?;
+        }
+        writeln!(f, "\nfailover gap")?;
+        for gap in &self.gaps {
+            let length = gap
+                .gap_ms
+                .map_or("no success before".to_owned(), |ms| format!("{ms:.0} ms"));
+            let at = gap.at_us as f64 / 1e6;
+            writeln!(f, "  {} at {at:.2} s, {}s: {length}", gap.fault, gap.kind)?;
+        }
+        writeln!(f, "\nservice at the peak")?;
+        for load in &self.loads {
+            let refused = self
+                .find(&load.window, "short")
+                .map(|work| codes(&work.not_run));
+            let refused = refused.unwrap_or_default();
+            let rate = load.goodput_per_s;
+            writeln!(
+                f,
+                "  {:<14} {rate:.0} statements/s done; not run: {refused}",
+                load.window
+            )?;
+        }
+        writeln!(f, "\nhead-of-line blocking")?;
+        for work in self
+            .work
+            .iter()
+            .filter(|work| !work.window.is_empty() && work.done > 0)
+        {
+            let (p50, p99) = (work.p50_us as f64 / 1e3, work.p99_us as f64 / 1e3);
+            let (window, shape) = (&work.window, &work.shape);
+            writeln!(
+                f,
+                "  {window:<14} {shape:<12} p50 {p50:.1} ms, p99 {p99:.1} ms"
+            )?;
+        }
+        writeln!(f, "\nhistory: {} violations", self.violations)?;
+        self.listed
+            .iter()
+            .try_for_each(|line| writeln!(f, "  {line}"))?;
+        self.notes
+            .iter()
+            .try_for_each(|line| writeln!(f, "note: {line}"))?;
+        writeln!(f, "\nstated outcomes")?;
+        self.checks
+            .iter()
+            .try_for_each(|check| writeln!(f, "  {check}"))
+    }
+}
+
+impl Report {
+    fn counts(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        for work in self.work.iter().filter(|work| work.window.is_empty()) {
+            let (shape, done, unknown) = (&work.shape, work.done, work.unknown);
+            let refused = codes(&work.not_run);
+            let (p50, p99) = (work.p50_us as f64 / 1e3, work.p99_us as f64 / 1e3);
+            write!(
+                f,
+                "  {shape:<12} done {done}, not run: {refused}, unknown {unknown}; "
+            )?;
+            writeln!(f, "p50 {p50:.1} ms, p99 {p99:.1} ms")?;
+        }
+        writeln!(f, "  without an answer at the end: {}", self.unanswered)
+    }
+
+    /// The figures of a shape in a window.
+    #[must_use]
+    pub fn find(&self, window: &str, shape: &str) -> Option<&Work> {
+        self.work
+            .iter()
+            .find(|work| work.window == window && work.shape == shape)
+    }
+}
+
+impl Display for Check {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let state = if self.passed { "passed" } else { "FAILED" };
+        let value = self
+            .value
+            .map_or("not measured".to_owned(), |value| format!("{value:.3}"));
+        write!(f, "{state}  {}: {value}", self.text)?;
+        if let Some(min) = self.min {
+            write!(f, ", at least {min}")?;
+        }
+        match self.max {
+            Some(max) => write!(f, ", at most {max}"),
+            None => Ok(()),
+        }
+    }
+}
+
+fn codes(counts: &BTreeMap<String, u64>) -> String {
+    if counts.is_empty() {
+        return "0".to_owned();
+    }
+    let list: Vec<String> = counts
+        .iter()
+        .map(|(code, n)| format!("{code} {n}"))
+        .collect();
+    list.join(", ")
+}
--- a/xtask/src/settings.rs
+++ b/xtask/src/settings.rs
@@ -10,7 +10,7 @@
 use crate::messages::HEAD;
 
 /// Schema files and the files generated from them.
-const SOURCES: [(&str, &str); 4] = [
+const SOURCES: [(&str, &str); 5] = [
     (
         "schema/settings/control.json",
         "components/settings/src/generated/control.rs",
@@ -23,6 +23,7 @@
         "schema/settings/standin.json",
         "components/settings/src/generated/standin.rs",
     ),
+    ("schema/trace.json", "components/replay/src/generated.rs"),
     ("schema/api.json", "components/admin/src/generated.rs"),
 ];
 
