Measure gaps by the callers concerned

A gap after the loss of an entry covers the callers that were at it, and counters of an entry that ended in a window no longer spoil the share of replica reads. An outcome that cannot be measured fails instead of ending the report.

--- a/components/replay/src/caller.rs
+++ b/components/replay/src/caller.rs
@@ -59,6 +59,8 @@
 pub struct Done {
     /// Number of the statement.
     pub number: usize,
+    /// Index of the entry.
+    pub entry: usize,
     /// When the entry could first see it.
     pub sent: Instant,
     /// When the entry's answer was there.
@@ -218,7 +220,7 @@
             (_, Err(answer)) => Err(answer),
             (None, Ok(())) => Err(Answer::NotRun("connect".to_owned())),
         };
-        let replied = Instant::now();
+        let (replied, entry) = (Instant::now(), self.entry % self.route.entries.len());
         let late = replied - sent >= PATIENCE && result == Err(Answer::Unknown);
         let closed = self.client.as_ref().is_none_or(Client::is_closed);
         if late || closed {
@@ -230,6 +232,7 @@
         let number = task.number;
         Done {
             number,
+            entry,
             sent,
             replied,
             answered,
--- a/components/replay/src/generate/dusk.rs
+++ b/components/replay/src/generate/dusk.rs
@@ -41,7 +41,7 @@
         );
         draft.work("summary", growers(first), 150.0, SUMMARIES);
         draft.work("reading", crews(first), 30.0, SUMMARIES);
-        draft.write_and_read(["reading", "plot"], crews(first), 60.0, READINGS, 10_000);
+        draft.write_and_read(["reading", "plot"], crews(first), 60.0, READINGS, 25_000);
         mix(draft, first, LODGING);
         mix(draft, first, COMPARING);
         draft.work("comparison", office(first), COMPARISONS, COMPARING);
--- a/components/replay/src/generate/monday.rs
+++ b/components/replay/src/generate/monday.rs
@@ -9,8 +9,8 @@
 const DOMAINS: [&str; 3] = ["catania", "ragusa", "enna"];
 const DATABASES: [&str; 3] = ["orders", "routes", "farms"];
 /// Callers of one database: vans first, then households and farmers.
-const CALLERS: u32 = 200;
-const VANS: u32 = 60;
+const CALLERS: u32 = 320;
+const VANS: u32 = 120;
 /// Target statements per second and database.
 const BASE: f64 = 90.0;
 const PEAK: f64 = 10.0 * BASE;
@@ -93,7 +93,7 @@
     draft.work("route-board", vans(first), 60.0, boards);
     draft.work("order", households(first), 20.0, boards);
     let orders = Span(9 * SECOND / 2, 13 * SECOND / 2);
-    draft.write_and_read(["order", "box"], households(first), 30.0, orders, 15_000);
+    draft.write_and_read(["order", "box"], households(first), 30.0, orders, 40_000);
 }
 
 /// The mix at the base rate, the ramp, the peak and the time after it.
--- a/components/replay/src/outcome.rs
+++ b/components/replay/src/outcome.rs
@@ -18,18 +18,15 @@
         Measure::History => Some(report.violations as f64),
         Measure::ReplicaReads => {
             let name = &*window?.name;
-            report
-                .reads
-                .iter()
-                .find(|reads| reads.window == *name)?
-                .share()
+            let reads = report.reads.iter().find(|reads| reads.window == *name);
+            reads.and_then(crate::report::Reads::share)
         }
         Measure::ReadGapMs => longest(report, "read"),
         Measure::WriteGapMs => longest(report, "write"),
         Measure::Goodput => {
             let (name, capacity) = (&*window?.name, stated.capacity_per_s?);
-            let load = report.loads.iter().find(|load| load.window == *name)?;
-            Some(load.goodput_per_s / capacity)
+            let load = report.loads.iter().find(|load| load.window == *name);
+            load.map(|load| load.goodput_per_s / capacity)
         }
         Measure::RecoveryMs => {
             let (window, base) = (window?, base?);
--- a/components/replay/src/play.rs
+++ b/components/replay/src/play.rs
@@ -12,21 +12,17 @@
 use history::{Operation, Outcome, Read, Write as Written};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
-use crate::caller::{Caller, Command, Done, Route, Task};
+use crate::caller::{Caller, Command, Done, Task};
 use crate::event::{Job, What};
 use crate::format::{Kind, Shape};
-use crate::record::{Answer, Counters, Run, Sample};
-use crate::{Trace, scrape, statement};
+use crate::record::{Answer, Fault, Place, Run, Sample, Scrape};
+use crate::setup::{last, ready, route};
+use crate::{Trace, scrape};
 
-/// Time for the system to come up.
-const START: Duration = Duration::from_secs(20);
 /// Time for the last answers after the last event.
 const DRAIN: Duration = Duration::from_secs(8);
-/// Time to read the final state, which may need a change of primary.
-const FINAL: Duration = Duration::from_secs(10);
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// One entry's addresses.
@@ -58,7 +54,7 @@
     callers: HashMap<u64, (usize, UnboundedSender<Command>)>,
     open: HashMap<usize, (u64, Job)>,
     reports: UnboundedSender<Done>,
-    scrapes: UnboundedSender<(usize, Counters, usize)>,
+    scrapes: UnboundedSender<(usize, Scrape)>,
     run: Run,
 }
 
@@ -93,43 +89,6 @@
     player.finish().await
 }
 
-fn route(trace: &Trace, addresses: &Addresses, database: usize) -> Route {
-    Route {
-        entries: addresses.entries.iter().map(|entry| entry.listen).collect(),
-        database: trace.system.databases[database].name.to_string(),
-        user: addresses.user.clone(),
-    }
-}
-
-/// Waits until every entry takes a write of every database, and creates the table.
-async fn ready(trace: &Trace, addresses: &Addresses) -> Result<()> {
-    let until = Instant::now() + START;
-    for database in 0..trace.system.databases.len() {
-        let route = route(trace, addresses, database);
-        for entry in 0..addresses.entries.len() {
-            loop {
-                let tried = async {
-                    let client = route
-                        .connect(entry, "", watch::Sender::new(String::new()))
-                        .await?;
-                    client
-                        .batch_execute(statement::CREATE)
-                        .await
-                        .context("create the table")
-                };
-                match tried.await {
-                    Ok(()) => break,
-                    Err(error) if Instant::now() > until => {
-                        return Err(error.context(format!("database {}", route.database)));
-                    }
-                    Err(_) => sleep(PAUSE).await,
-                }
-            }
-        }
-    }
-    Ok(())
-}
-
 impl Player<'_> {
     /// Edges of the windows, each with the index that its counters are reported under.
     fn edges(&self) -> Vec<(u64, usize)> {
@@ -144,7 +103,7 @@
     async fn events(
         &mut self,
         mut done: UnboundedReceiver<Done>,
-        mut counters: UnboundedReceiver<(usize, Counters, usize)>,
+        mut counters: UnboundedReceiver<(usize, Scrape)>,
     ) -> Result<()> {
         let (edges, trace) = (self.edges(), self.trace);
         let (mut next, mut edge) = (0, 0);
@@ -159,7 +118,7 @@
             tokio::select! {
                 biased;
                 Some(report) = done.recv() => self.answer(report),
-                Some((index, sum, silent)) = counters.recv() => self.count(index, sum, silent),
+                Some((index, scrape)) = counters.recv() => self.count(index, scrape),
                 () = sleep_until(due) => {
                     if scrape == Some(due) {
                         self.scrape(edges[edge].1);
@@ -172,8 +131,8 @@
             }
         }
         // The last window's counters may still be on their way.
-        while let Ok(Some((index, sum, silent))) = timeout(PAUSE * 20, counters.recv()).await {
-            self.count(index, sum, silent);
+        while let Ok(Some((index, scrape))) = timeout(PAUSE * 20, counters.recv()).await {
+            self.count(index, scrape);
         }
         Ok(())
     }
@@ -255,9 +214,16 @@
             .open(path)
             .with_context(|| format!("open {}", path.display()))?;
         writeln!(file, "{text}").context("pass on a fault")?;
-        let database = self.trace.database_of(process);
-        let at = self.us(Instant::now());
-        self.run.faults.push((at, text.to_owned(), database));
+        let entries = &self.trace.system.entries;
+        let entry = entries.iter().position(|entry| *entry.name == process);
+        let place = match (self.trace.database_of(process), entry) {
+            (Some(database), _) => Place::Database(database),
+            (None, Some(entry)) => Place::Entry(entry),
+            (None, None) => Place::All,
+        };
+        let at_us = self.us(Instant::now());
+        let text = text.to_owned();
+        self.run.faults.push(Fault { at_us, text, place });
         Ok(())
     }
 
@@ -270,21 +236,21 @@
             .collect();
         let counters = self.scrapes.clone();
         tokio::task::spawn_local(async move {
-            let (sum, silent) = scrape::all(&https).await;
+            let scrape = scrape::all(&https).await;
             // The run may have ended.
-            let _late = counters.send((index, sum, silent));
+            let _late = counters.send((index, scrape));
         });
     }
 
-    fn count(&mut self, index: usize, sum: Counters, silent: usize) {
+    fn count(&mut self, index: usize, scrape: Scrape) {
         let name = self.trace.windows[index / 2].name.to_string();
+        let silent = scrape.iter().filter(|counters| counters.is_none()).count();
         if silent > 0 {
-            self.run
-                .notes
-                .push(format!("window {name}: {silent} entries gave no counters"));
+            let note = format!("window {name}: {silent} of the entries gave no counters");
+            self.run.notes.push(note);
         }
         let (from, until) = self.run.counters.entry(name).or_default();
-        *(if index.is_multiple_of(2) { from } else { until }) = sum;
+        *(if index.is_multiple_of(2) { from } else { until }) = scrape;
     }
 
     fn answer(&mut self, report: Done) {
@@ -303,7 +269,10 @@
         self.run.samples.push(Sample {
             shape,
             database,
+            caller: job.caller,
+            entry: report.entry,
             due_us,
+            sent_us: self.us(report.sent),
             answered_us,
             answer,
         });
@@ -347,6 +316,7 @@
             let result = Err(Answer::Unknown);
             let report = Done {
                 number,
+                entry: 0,
                 sent: now,
                 replied: now,
                 answered: now,
@@ -365,25 +335,3 @@
         Ok(self.run)
     }
 }
-
-/// Reads everything from the primary, which serves a session whose writes are not known.
-async fn last(route: &Route) -> Result<Vec<history::Row>> {
-    let until = Instant::now() + FINAL;
-    let mut entry = 0;
-    loop {
-        let tried = async {
-            let token = watch::Sender::new(String::new());
-            let client = route.connect(entry, "final-state", token).await?;
-            let answer = timeout(FINAL, client.simple_query(statement::FINAL)).await;
-            Ok::<_, anyhow::Error>(answer.context("no answer")??)
-        };
-        match tried.await {
-            Ok(messages) => return Ok(statement::rows(&messages)),
-            Err(error) if Instant::now() > until => {
-                return Err(error.context(format!("final state of {}", route.database)));
-            }
-            Err(_) => sleep(PAUSE).await,
-        }
-        entry += 1;
-    }
-}
--- a/components/replay/src/record.rs
+++ b/components/replay/src/record.rs
@@ -22,8 +22,14 @@
     pub shape: usize,
     /// Index of the database.
     pub database: usize,
+    /// Number of the caller.
+    pub caller: u64,
+    /// Index of the entry that it was at.
+    pub entry: usize,
     /// Intended start.
     pub due_us: u64,
+    /// When the caller was free to send it.
+    pub sent_us: u64,
     /// Arrival of the answer at the caller.
     pub answered_us: u64,
     /// What became of it.
@@ -44,9 +50,34 @@
     }
 }
 
-/// Counters of the entries at one instant, by what was answered and where it ran.
+/// Counters of an entry at one instant, by what was answered and where it ran.
 pub type Counters = BTreeMap<String, u64>;
 
+/// Counters of each entry; none from one that did not reply.
+pub type Scrape = Vec<Option<Counters>>;
+
+/// Whose callers a fault or a change concerns.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Place {
+    /// Those of the database with this index.
+    Database(usize),
+    /// Those that were at the entry with this index.
+    Entry(usize),
+    /// All.
+    All,
+}
+
+/// A fault or a change as it was passed on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// When that was.
+    pub at_us: u64,
+    /// What was done to which process.
+    pub text: String,
+    /// Whom it concerns.
+    pub place: Place,
+}
+
 /// Everything recorded in one run.
 #[derive(Debug, Default)]
 pub struct Run {
@@ -54,10 +85,10 @@
     pub samples: Vec<Sample>,
     /// Operations of each database.
     pub history: Vec<Vec<Operation>>,
-    /// Faults and changes as they were passed on: time, text, and the target's database if one.
-    pub faults: Vec<(u64, String, Option<usize>)>,
-    /// Counters at the start and the end of each window.
-    pub counters: BTreeMap<String, (Counters, Counters)>,
+    /// Faults and changes by rising time.
+    pub faults: Vec<Fault>,
+    /// Counters of each entry at the start and the end of each window.
+    pub counters: BTreeMap<String, (Scrape, Scrape)>,
     /// Statements without an answer when the run was ended.
     pub unanswered: u64,
     /// Problems of the player itself.
--- a/components/replay/src/report.rs
+++ b/components/replay/src/report.rs
@@ -1,12 +1,12 @@
 //! What is printed of a run.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use anyhow::{Result, bail};
 use serde::{Deserialize, Serialize};
 
 use crate::measure::{self, due, gap, goodput, is_read, is_short, quantiles};
-use crate::record::Answer;
+use crate::record::{Answer, Counters, Fault, Place, Scrape};
 use crate::{Run, Trace, outcome};
 
 /// Violations that are listed; their number is stated in full.
@@ -115,6 +115,9 @@
     pub gaps: Vec<Pause>,
     /// Goodput by window.
     pub loads: Vec<Load>,
+    /// 99th percentile of the time that statements waited for their caller, which sends one at a
+    /// time; latencies contain it.
+    pub late_p99_us: u64,
     /// Statements without an answer at the end.
     pub unanswered: u64,
     /// Number of violations of the history.
@@ -152,13 +155,14 @@
         let mut report = Self {
             trace: trace.system.name.to_string(),
             label: label.to_owned(),
+            late_p99_us: late(run),
             unanswered: run.unanswered,
             violations: found.len() as u64,
             listed: found.into_iter().take(LISTED).collect(),
             faults: run
                 .faults
                 .iter()
-                .map(|(at, text, _)| (*at, text.clone()))
+                .map(|fault| (fault.at_us, fault.text.clone()))
                 .collect(),
             notes: run.notes.clone(),
             series: series(trace, run),
@@ -184,10 +188,7 @@
             self.work.extend(work(trace, run, Some(window)));
             let name = window.name.to_string();
             if let Some((from, until)) = run.counters.get(&name) {
-                let rise = |reason: &str| {
-                    let at = |counters: &crate::record::Counters| counters.get(reason).copied();
-                    at(until).unwrap_or(0).saturating_sub(at(from).unwrap_or(0))
-                };
+                let rise = |reason: &str| rise(from, until, reason);
                 let (replica, primary) = (rise("read_replica"), rise("read_primary"));
                 self.reads.push(Reads {
                     window: name.clone(),
@@ -245,21 +246,30 @@
     lines.into_iter().map(count).collect()
 }
 
-/// The fault's own database counts if a target failed, else all of them.
+/// Growth of a counter over the entries that replied at both instants.
+fn rise(from: &Scrape, until: &Scrape, reason: &str) -> u64 {
+    let both = from
+        .iter()
+        .zip(until)
+        .filter_map(|(a, b)| a.as_ref().zip(b.as_ref()));
+    let at = |counters: &Counters| counters.get(reason).copied().unwrap_or(0);
+    both.map(|(a, b)| at(b).saturating_sub(at(a))).sum()
+}
+
+/// Gaps of reads and of writes after each fault, as the callers that it concerns see them together.
 fn gaps(trace: &Trace, run: &Run) -> Vec<Pause> {
     let mut pauses = Vec::new();
-    for (at, text, database) in &run.faults {
+    for fault in &run.faults {
+        let concerned = concerned(run, fault);
         for (kind, read) in [("read", true), ("write", false)] {
             let successes = run.samples.iter().filter(|s| {
-                s.is_done()
-                    && database.is_none_or(|database| s.database == database)
-                    && is_read(trace, s) == read
-                    && is_short(trace, s)
+                let wanted = s.is_done() && is_read(trace, s) == read && is_short(trace, s);
+                wanted && concerned.contains(&s.caller)
             });
-            let gap = gap(successes.map(|s| s.answered_us), *at);
+            let gap = gap(successes.map(|s| s.answered_us), fault.at_us);
             pauses.push(Pause {
-                fault: text.clone(),
-                at_us: *at,
+                fault: fault.text.clone(),
+                at_us: fault.at_us,
                 kind: kind.to_owned(),
                 gap_ms: gap.map(|gap| gap.us as f64 / 1e3),
             });
@@ -268,6 +278,29 @@
     pauses
 }
 
+/// The callers that `fault` concerns; a caller is at the entry of its last answer before it.
+fn concerned(run: &Run, fault: &Fault) -> HashSet<u64> {
+    let mut last = HashMap::new();
+    for sample in run.samples.iter().filter(|s| s.answered_us <= fault.at_us) {
+        last.insert(sample.caller, (sample.database, sample.entry));
+    }
+    let wanted = |(database, entry)| match fault.place {
+        Place::Database(failed) => database == failed,
+        Place::Entry(failed) => entry == failed,
+        Place::All => true,
+    };
+    last.retain(|_, seen| wanted(*seen));
+    last.into_keys().collect()
+}
+
+fn late(run: &Run) -> u64 {
+    let waits = run
+        .samples
+        .iter()
+        .map(|s| s.sent_us.saturating_sub(s.due_us));
+    quantiles(waits).map_or(0, |(_, p99)| p99)
+}
+
 fn series(trace: &Trace, run: &Run) -> Vec<Point> {
     let mut buckets: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
     for sample in run
--- a/components/replay/src/scrape.rs
+++ b/components/replay/src/scrape.rs
@@ -8,22 +8,20 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::record::Counters;
+use crate::record::{Counters, Scrape};
 
 /// Time for one reply; a killed or frozen entry gives none.
 const PATIENCE: Duration = Duration::from_millis(300);
 const COUNTER: &str = "batches_total{reason=\"";
 
-/// Sums the counters of answered statements over `entries`; returns how many did not reply.
-pub async fn all(entries: &[SocketAddr]) -> (Counters, usize) {
-    let (mut sum, mut silent) = (Counters::new(), 0);
+/// Counters of each of `entries`.
+pub async fn all(entries: &[SocketAddr]) -> Scrape {
+    let mut scrape = Scrape::new();
     for entry in entries {
-        match timeout(PATIENCE, text(*entry)).await {
-            Ok(Ok(text)) => add(&text, &mut sum),
-            _ => silent += 1,
-        }
+        let text = timeout(PATIENCE, text(*entry)).await;
+        scrape.push(text.ok().and_then(Result::ok).map(|text| parse(&text)));
     }
-    (sum, silent)
+    scrape
 }
 
 async fn text(entry: SocketAddr) -> Result<String> {
@@ -35,16 +33,10 @@
     Ok(text)
 }
 
-fn add(text: &str, sum: &mut Counters) {
-    for line in text.lines() {
-        let Some((reason, count)) = line
-            .strip_prefix(COUNTER)
-            .and_then(|rest| rest.split_once("\"} "))
-        else {
-            continue;
-        };
-        if let Ok(count) = count.trim().parse::<u64>() {
-            *sum.entry(reason.to_owned()).or_default() += count;
-        }
-    }
+fn parse(text: &str) -> Counters {
+    let counter = |line: &str| {
+        let (reason, count) = line.strip_prefix(COUNTER)?.split_once("\"} ")?;
+        Some((reason.to_owned(), count.trim().parse().ok()?))
+    };
+    text.lines().filter_map(counter).collect()
 }
--- a/components/replay/src/statement.rs
+++ b/components/replay/src/statement.rs
@@ -63,7 +63,9 @@
     }
 }
 
-fn classify(code: &SqlState, open: bool) -> Answer {
+/// What a SQLSTATE says of the statement; `open` if the statement could have taken effect.
+#[must_use]
+pub fn classify(code: &SqlState, open: bool) -> Answer {
     // 08007 is the one SQLSTATE that leaves the outcome open.
     if open && *code == SqlState::TRANSACTION_RESOLUTION_UNKNOWN {
         return Answer::Unknown;
--- a/components/replay/src/text.rs
+++ b/components/replay/src/text.rs
@@ -42,7 +42,7 @@
                 load.window
             )?;
         }
-        writeln!(f, "\nhead-of-line blocking")?;
+        writeln!(f, "\nlatency by window")?;
         for work in self
             .work
             .iter()
@@ -55,6 +55,16 @@
                 "  {window:<14} {shape:<12} p50 {p50:.1} ms, p99 {p99:.1} ms"
             )?;
         }
+        writeln!(f, "\nhead-of-line blocking")?;
+        let blocking = |check: &&Check| {
+            check.text.starts_with("short_p99") || check.text.starts_with("long_p50")
+        };
+        for check in self.checks.iter().filter(blocking) {
+            let ratio = check
+                .value
+                .map_or("not measured".to_owned(), |ratio| format!("{ratio:.2}"));
+            writeln!(f, "  {} times: {ratio}", check.text)?;
+        }
         writeln!(f, "\nhistory: {} violations", self.violations)?;
         self.listed
             .iter()
@@ -81,6 +91,8 @@
             )?;
             writeln!(f, "p50 {p50:.1} ms, p99 {p99:.1} ms")?;
         }
+        let late = self.late_p99_us as f64 / 1e3;
+        writeln!(f, "  waited for their caller: p99 {late:.1} ms")?;
         writeln!(f, "  without an answer at the end: {}", self.unanswered)
     }
 
--- a/replay.sh
+++ b/replay.sh
@@ -57,7 +57,7 @@
   start "$name"
 done < "$folder/processes"
 while read -r key value; do
-  operate settings set / "$key" "$value"
+  operate settings set / "$key" "$value" --operator replay
 done < "$folder/settings"
 
 "$bin/limpettally-replay" play "$trace" --addresses "$folder/addresses.json" "$@" 3>&- &
@@ -70,7 +70,10 @@
 # The player writes a line for each fault and change of the trace.
 while read -r action name <&3; do
   case $action in
-    kill) kill -KILL "${pids[$name]}" ;;
+    kill)
+      # Waiting here keeps the shell from reporting the end of the job.
+      { kill -KILL "${pids[$name]}" && wait "${pids[$name]}"; } 2>/dev/null || true
+      ;;
     freeze) kill -STOP "${pids[$name]}" ;;
     continue) kill -CONT "${pids[$name]}" ;;
     restart)
@@ -79,7 +82,7 @@
       start "$name"
       ;;
     serving | draining | leaving)
-      operate targets "$action" "$name" || echo "operators: $action $name was refused" >&2 ;;
+      operate targets "$action" "$name" --operator replay || echo "operators: $action $name was refused" >&2 ;;
     end)
       code=0
       wait "$player" || code=$?
