Leave idle time out of gaps

A gap counted pauses of the trace as time without service. It now starts when a statement is due or waiting.

--- a/components/replay/src/lib.rs
+++ b/components/replay/src/lib.rs
@@ -32,7 +32,7 @@
 pub use compare::compare;
 pub use event::{Event, Job, What};
 pub use generate::{NAMES, generate};
-pub use measure::{Gap, gap, quantiles, recovery};
+pub use measure::{Attempt, Gap, gap, quantiles, recovery};
 pub use play::{Addresses, Entry, play};
 pub use plot::plot;
 pub use prepare::prepare;
--- a/components/replay/src/record.rs
+++ b/components/replay/src/record.rs
@@ -4,6 +4,8 @@
 
 use history::Operation;
 
+use crate::measure::Attempt;
+
 /// What became of a statement.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Answer {
@@ -43,6 +45,16 @@
         self.answered_us.saturating_sub(self.due_us)
     }
 
+    /// What a gap depends on.
+    #[must_use]
+    pub fn attempt(&self) -> Attempt {
+        Attempt {
+            due_us: self.due_us,
+            answered_us: self.answered_us,
+            done: self.is_done(),
+        }
+    }
+
     /// It is done.
     #[must_use]
     pub fn is_done(&self) -> bool {
--- a/components/replay/src/report.rs
+++ b/components/replay/src/report.rs
@@ -7,7 +7,7 @@
 
 use crate::measure::{self, due, gap, goodput, is_read, is_short, quantiles};
 use crate::record::{Answer, Counters, Fault, Place, Scrape};
-use crate::{Run, Trace, outcome};
+use crate::{Run, Sample, Trace, outcome};
 
 /// Violations that are listed; their number is stated in full.
 const LISTED: usize = 20;
@@ -220,12 +220,12 @@
         .collect();
     lines.push(("short".to_owned(), None));
     let count = |(shape, index): (String, Option<usize>)| {
-        let wanted = |s: &&crate::Sample| match index {
+        let wanted = |s: &&Sample| match index {
             Some(index) => s.shape == index,
             None => is_short(trace, s),
         };
         let inside =
-            |s: &&crate::Sample| window.is_none_or(|w| (w.from_us..w.until_us).contains(&s.due_us));
+            |s: &&Sample| window.is_none_or(|w| (w.from_us..w.until_us).contains(&s.due_us));
         let mut line = Work {
             window: name.clone(),
             shape,
@@ -262,11 +262,11 @@
     for fault in &run.faults {
         let concerned = concerned(run, fault);
         for (kind, read) in [("read", true), ("write", false)] {
-            let successes = run.samples.iter().filter(|s| {
-                let wanted = s.is_done() && is_read(trace, s) == read && is_short(trace, s);
+            let attempts = run.samples.iter().filter(|s| {
+                let wanted = is_read(trace, s) == read && is_short(trace, s);
                 wanted && concerned.contains(&s.caller)
             });
-            let gap = gap(successes.map(|s| s.answered_us), fault.at_us);
+            let gap = gap(attempts.map(Sample::attempt), fault.at_us);
             pauses.push(Pause {
                 fault: fault.text.clone(),
                 at_us: fault.at_us,
@@ -331,5 +331,5 @@
     short: bool,
 ) -> Option<(u64, u64)> {
     let wanted = due(run, window).filter(|s| s.is_done() && is_short(trace, s) == short);
-    measure::quantiles(wanted.map(crate::Sample::latency_us))
+    measure::quantiles(wanted.map(Sample::latency_us))
 }
--- a/components/replay/src/trace.rs
+++ b/components/replay/src/trace.rs
@@ -7,7 +7,7 @@
 use settings::Schema;
 
 use crate::event::{Event, Job, What};
-use crate::format::{Action, Arrive, Line, Outcome, Statement, System, Window};
+use crate::format::{Action, Arrive, Kind, Line, Outcome, Statement, System, Window};
 
 /// Longest trace; a replay is a bounded load.
 const MAX_LENGTH_US: u64 = 60_000_000;
@@ -194,6 +194,15 @@
                 _ => {}
             }
         }
+        for shape in &self.system.shapes {
+            let usual = self.system.statement_us;
+            if shape.service_us < usual || shape.kind != Kind::Long && shape.service_us != usual {
+                findings.push(format!(
+                    "line 1: the service time of {} cannot be played",
+                    *shape.name
+                ));
+            }
+        }
         let named = self.outcomes.iter().flat_map(|o| [&o.window, &o.base]);
         for name in named.flatten().filter(|name| self.window(name).is_none()) {
             findings.push(format!("no window {}", **name));
--- a/components/replay/tests/trace.rs
+++ b/components/replay/tests/trace.rs
@@ -79,6 +79,14 @@
     assert!(error.contains(expected), "{error}");
 }
 
+/// A target takes the same time for everything but a long read; another time would be played wrong.
+#[test]
+fn finds_unplayable_service_times() {
+    let text = SYSTEM.replace(r#""service_us":1000"#, r#""service_us":1001"#);
+    let error = Trace::parse(&text).unwrap_err();
+    assert!(error.to_string().contains("service time of w"), "{error}");
+}
+
 /// A committed trace that its generator does not write, or that is too long, is not reproducible.
 #[test]
 fn committed_traces_are_generated() {
