Follow only what a command changed in the leader's state

Each applied command made the leader walk all targets, databases and entries, so that the filling of a catalog was quadratic and held the loop up until the leadership was lost. The leader now looks at the command's own target, database or entry; settings of connections still walk all targets.

--- a/components/control/src/lead.rs
+++ b/components/control/src/lead.rs
@@ -1,6 +1,8 @@
 //! What only the leader holds: leases, quotas, health and changes of primary. All of it is in
 //! memory and begins anew with each leader.
 
+mod follow;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -122,55 +124,6 @@
         lead
     }
 
-    /// Follows a change of the catalog.
-    pub fn on_catalog(&mut self, catalog: &Catalog) {
-        let values = catalog.values();
-        self.grants.set_ttl(
-            Duration::from_millis(values.lease_ttl_ms.into()),
-            values.lease_drift_ppm,
-        );
-        for (name, _) in catalog.entries() {
-            self.grants.enroll(name);
-            self.split.enroll(name);
-        }
-        for (name, target) in catalog.targets() {
-            self.split
-                .set(name, target.limit(), target.values().connections_floor);
-        }
-        self.proposed
-            .retain(|_, announcement| catalog.is_news(announcement));
-        self.enrolling
-            .retain(|name| !catalog.is_enrolled(name.as_str()));
-        for (name, database) in catalog.databases() {
-            self.machines
-                .entry(name.clone())
-                .or_insert_with(|| Machine::new(name.clone()));
-            if *database.phase() != Phase::Steady || database.primary().is_none() {
-                self.active.insert(name.clone());
-            }
-        }
-    }
-
-    /// An entry was dismissed.
-    pub fn on_dismissed(&mut self, instance: &Name) {
-        self.grants.dismiss(instance.as_str());
-        self.split.dismiss(instance.as_str());
-        self.holders.remove(instance);
-        for watch in self.watches.values_mut() {
-            watch.forget(instance.as_str());
-        }
-    }
-
-    /// A command to retire a target was applied; the catalog may have refused it.
-    pub fn on_retired(&mut self, target: &Name, catalog: &Catalog) {
-        if catalog.target(target.as_str()).is_some() {
-            return;
-        }
-        self.split.forget(target.as_str());
-        self.watches.remove(target);
-        self.observed.remove(target);
-    }
-
     /// Leases.
     #[must_use]
     pub fn grants(&self) -> &Table {
--- a/components/control/src/log.rs
+++ b/components/control/src/log.rs
@@ -177,12 +177,7 @@
         let outcome = self.catalog.apply(Revision(index), &command);
         self.streams.publish(Revision(index), &raw);
         if let Some(lead) = &mut self.lead {
-            lead.on_catalog(&self.catalog);
-            match &command {
-                Command::Retire { target } => lead.on_retired(target, &self.catalog),
-                Command::Dismiss { instance } => lead.on_dismissed(instance),
-                _ => {}
-            }
+            lead.on_applied(&command, &self.catalog);
         }
         match self.take_waiter(position) {
             Some(Waiter::Reply(pending)) => self.answer_change(now, pending, &command, &outcome),
