Step the changes of primary once a turn

Each renewal, applied command and answer of a target stepped every change under way, and a step looks at every entry: a change of primary cost the square of the number of entries or of the databases that fail at once. The steps now run once at the end of the turn.

--- a/components/control/src/log.rs
+++ b/components/control/src/log.rs
@@ -194,7 +194,8 @@
             }
             Some(Waiter::None) | None => {}
         }
-        self.step(now)
+        self.step_due = true;
+        Ok(())
     }
 
     fn compact(&mut self, now: Instant) -> Result<()> {
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -66,6 +66,9 @@
     pub(crate) compacted: u64,
     pub(crate) greeting_at: Instant,
     pub(crate) stopping: bool,
+    /// Something happened that changes of primary under way may wait for. They are stepped once at
+    /// the end of the turn: one step a renewal cost the square of the number of entries.
+    pub(crate) step_due: bool,
 }
 
 /// Runs a control process until it is told to stop.
@@ -192,6 +195,7 @@
             compacted: applied,
             greeting_at: now,
             stopping: false,
+            step_due: false,
         };
         state.keep_peers(now);
         Ok(state)
@@ -221,6 +225,9 @@
     }
 
     fn deadline(&self) -> Instant {
+        if self.step_due && self.lead.is_some() {
+            return now();
+        }
         let due = [
             self.node.deadline(),
             self.peers.deadline(),
@@ -252,7 +259,7 @@
                 if let Some(machine) = self.lead.as_mut().and_then(|lead| lead.machine(&database)) {
                     machine.on_position(now, &target, round, position);
                 }
-                self.step(now)?;
+                self.step_due = true;
             }
             Event::Promoted {
                 database,
@@ -271,7 +278,7 @@
                         .map(|action| (database.clone(), action))
                         .collect(),
                 )?;
-                self.step(now)?;
+                self.step_due = true;
             }
             Event::Following {
                 database,
@@ -307,7 +314,8 @@
         }
         let mut due = Vec::new();
         if let Some(lead) = &mut self.lead {
-            lead.on_tick(now, false, &self.catalog, &mut due);
+            let at_once = std::mem::take(&mut self.step_due);
+            lead.on_tick(now, at_once, &self.catalog, &mut due);
         }
         self.act(now, due)?;
         self.confirm(now);
@@ -319,15 +327,6 @@
             .set(i64::try_from(self.streams.count()).unwrap_or(i64::MAX));
         Ok(())
     }
-
-    /// Steps the changes of primary that are under way, as something they wait for has happened.
-    pub(crate) fn step(&mut self, now: Instant) -> Result<()> {
-        let mut due = Vec::new();
-        if let Some(lead) = &mut self.lead {
-            lead.on_tick(now, true, &self.catalog, &mut due);
-        }
-        self.act(now, due)
-    }
 }
 
 /// The monotonic clock, which is paused in tests.
--- a/components/control/src/serve.rs
+++ b/components/control/src/serve.rs
@@ -47,7 +47,8 @@
                 if let (Some(peer), Some(lead)) = (ended, &mut self.lead) {
                     lead.end(peer.instance.as_str(), peer.boot);
                 }
-                self.step(now)
+                self.step_due = true;
+                Ok(())
             }
             renewal @ wire::Up::Renew { .. } => match Checked::try_from(renewal) {
                 Ok(checked) => self.on_renewal(now, id, &checked),
@@ -142,7 +143,7 @@
                 }
             }
         }
-        self.confirm(now);
-        self.step(now)
+        self.step_due = true;
+        Ok(())
     }
 }
