Ask only for connections beyond the floor

An entry named each target in each renewal with the two connections that a watch and one caller need, although the floor of two is granted anyway; the leader took in and answered each of them. A demand within the floor is no longer sent.

--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -97,7 +97,14 @@
                 silent_ms: ms(now.saturating_duration_since(server.watch.answered_at)),
             })
         });
-        let demand = known().map(|server| wire::Demand {
+        let catalog = self.control.catalog();
+        let floor = |server: &Server| {
+            let target = catalog.and_then(|catalog| catalog.target(server.name.as_str()));
+            target.map_or(0, |target| target.values().connections_floor)
+        };
+        // The floor is granted anyway, and most of many targets are used within it.
+        let demand = known().filter(|server| server.demand() > floor(server));
+        let demand = demand.map(|server| wire::Demand {
             target: server.name.to_string(),
             connections: server.demand(),
         });
