--- a/examples/load/entries.rs
+++ b/examples/load/entries.rs
@@ -72,6 +72,9 @@
     load.join_all(number("entries")).await?;
     load.hasty = true;
     load.pause(3).await?;
+    for _ in 0..number("quiet") {
+        load.window(secs, 0).await?;
+    }
     for _ in 0..number("windows") {
         load.window(secs, number("changes")).await?;
     }
--- a/examples/load/main.rs
+++ b/examples/load/main.rs
@@ -49,6 +49,7 @@
                 .arg(number("changes", "0", "Setting changes per second"))
                 .arg(number("secs", "5", "Length of a window"))
                 .arg(number("windows", "3", "Windows"))
+                .arg(number("quiet", "0", "Windows without changes before"))
                 .arg(number(
                     "joins",
                     "0",
--- a/examples/load/measure.sh
+++ b/examples/load/measure.sh
@@ -84,8 +84,7 @@
     # The fake entry fills the catalog; its windows show the real entry, first without, then with
     # changes of settings.
     entry
-    load 1 "$1" --floor 2 --pids "$entry_pid,$ordered,$targets" --secs "${2:-5}"
-    load 1 "$1" --floor 2 --pids "$entry_pid,$ordered,$targets" --secs "${2:-5}" --changes 1
+    load 1 "$1" --floor 2 --pids "$entry_pid,$ordered,$targets" --secs "${2:-5}" --quiet 3 --changes 1
     ls -l "$folder/entry.catalog" | awk '{print "cached catalog: " $5 " bytes"}'
     ;;
   callers)
