--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -67,6 +67,9 @@
     pub(crate) greeting_at: Instant,
     /// Set by SIGTERM: when the process ends although operators' changes wait for their commit.
     pub(crate) stop_at: Option<Instant>,
+    /// Something happened that changes of primary under way may wait for. They are stepped once at
+    /// the end of the turn: one step a renewal cost the square of the number of entries.
+    pub(crate) step_due: bool,
 }
 
 /// Runs a control process until it is told to stop.
@@ -189,6 +192,7 @@
             compacted: applied,
             greeting_at: now,
             stop_at: None,
+            step_due: false,
         };
         state.keep_peers(now);
         Ok(state)
@@ -225,6 +229,9 @@
     }
 
     fn deadline(&self) -> Instant {
+        if self.step_due && self.lead.is_some() {
+            return now();
+        }
         let due = [
             self.node.deadline(),
             self.peers.deadline(),
@@ -257,7 +264,7 @@
                 if let Some(machine) = self.lead.as_mut().and_then(|lead| lead.machine(&database)) {
                     machine.on_position(now, &target, round, position);
                 }
-                self.step(now)?;
+                self.step_due = true;
             }
             Event::Promoted {
                 database,
@@ -276,7 +283,7 @@
                         .map(|action| (database.clone(), action))
                         .collect(),
                 )?;
-                self.step(now)?;
+                self.step_due = true;
             }
             Event::Following {
                 database,
@@ -312,7 +319,8 @@
         }
         let mut due = Vec::new();
         if let Some(lead) = &mut self.lead {
-            lead.on_tick(now, false, &self.catalog, &mut due);
+            let at_once = std::mem::take(&mut self.step_due);
+            lead.on_tick(now, at_once, &self.catalog, &mut due);
         }
         self.act(now, due)?;
         self.confirm(now);
@@ -324,15 +332,6 @@
             .set(i64::try_from(self.streams.count()).unwrap_or(i64::MAX));
         Ok(())
     }
-
-    /// Steps the changes of primary that are under way, as something they wait for has happened.
-    pub(crate) fn step(&mut self, now: Instant) -> Result<()> {
-        let mut due = Vec::new();
-        if let Some(lead) = &mut self.lead {
-            lead.on_tick(now, true, &self.catalog, &mut due);
-        }
-        self.act(now, due)
-    }
 }
 
 /// The monotonic clock, which is paused in tests.
