Test two failures at once, and one twice, under checked load

Cause: the promises have to hold when failures come together or twice.

Change: four tests with processes: primary and control leader killed together; an entry frozen while the primary dies; the control leader frozen while primary and entry die; two primaries killed in a row with the first back as a replica.

--- a/tests/system/harness.rs
+++ b/tests/system/harness.rs
@@ -197,6 +197,17 @@
         process.child = Some(child.unwrap());
     }
 
+    /// Starts an ended target as a replica of another one.
+    pub fn restart_as_replica(&mut self, target: usize, primary: usize) {
+        let name = format!("target-{target}");
+        let path = self.folder.path().join(format!("{name}.json"));
+        let text = std::fs::read_to_string(&path).unwrap();
+        let mut settings: serde_json::Value = serde_json::from_str(&text).unwrap();
+        settings["primary"] = serde_json::json!(self.address("target", primary));
+        std::fs::write(path, settings.to_string()).unwrap();
+        self.restart(&name);
+    }
+
     /// Removes the disk of an ended control instance.
     pub fn empty_disk(&self, control: usize) {
         std::fs::remove_dir_all(self.folder.path().join(format!("control-{control}.data")))
@@ -239,6 +250,35 @@
         .await
     }
 
+    /// The primary, when another target has ended.
+    pub async fn primary_beside(&self, ended: usize) -> usize {
+        eventually("a primary beside the ended one", LIMIT, async || {
+            for i in (0..3).filter(|i| *i != ended) {
+                let recovers = value(&self.target(i).await, "SELECT pg_is_in_recovery()").await;
+                if recovers.ok()?.as_deref() == Some("f") {
+                    return Some(i);
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    /// Whether a target is a replica on the primary's timeline.
+    pub async fn follows(&self, target: usize, primary: usize) -> bool {
+        let timeline = "SELECT timeline_id FROM pg_control_checkpoint()";
+        let Ok(client) = connect(self.address("target", target), None).await else {
+            return false;
+        };
+        let recovers = value(&client, "SELECT pg_is_in_recovery()").await;
+        let own = value(&client, timeline).await;
+        let primary = value(&self.target(primary).await, timeline).await;
+        let (Ok(recovers), Ok(own), Ok(primary)) = (recovers, own, primary) else {
+            return false;
+        };
+        recovers.as_deref() == Some("t") && own == primary
+    }
+
     /// A metric of a process; none if it has no such line or does not answer.
     pub async fn metric(&self, kind: &str, i: usize, name: &str) -> Option<u64> {
         let mut socket = TcpStream::connect(self.address(&format!("{kind}-http"), i))
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -13,6 +13,7 @@
 mod request;
 mod retire;
 mod settings;
+mod together;
 
 /// Runs a test on one thread.
 fn run(test: impl Future<Output = ()>) {
