Share the slots for long work among entries, and what is long among targets

Cause: each entry took slots.long_max of every target as its own, and each learnt anew on every target which shapes are long.

Change: control splits the slots for long work of a target by demand, as it does with connections, and leaves one slot to short work; an entry keeps one table of shapes for all its targets.

--- a/components/control/src/lead.rs
+++ b/components/control/src/lead.rs
@@ -33,6 +33,8 @@
     pub confirmed: u64,
     /// Connections that it wants.
     pub demand: Vec<(Name, u32)>,
+    /// Slots for long work that it wants.
+    pub long: Vec<(Name, u32)>,
     /// Targets that it watches.
     pub health: Vec<Report>,
 }
@@ -74,6 +76,8 @@
     pub ttl: Duration,
     /// Quotas other than the floors.
     pub quotas: Vec<Quota>,
+    /// Slots for long work.
+    pub long: Vec<Quota>,
 }
 
 /// State of a leader.
@@ -81,6 +85,8 @@
 pub struct Lead {
     grants: Table,
     split: Split,
+    /// Slots for long work of the targets that have had any since this leader's election.
+    long: Split,
     watches: BTreeMap<Name, Watch>,
     /// Latest positions, for operators.
     observed: BTreeMap<Name, Observed>,
@@ -111,9 +117,12 @@
         let enrolled: Vec<&Name> = catalog.entries().map(|(name, _)| name).collect();
         let grants = Table::new(now, ttl, drift, enrolled.iter().copied());
         let split = Split::new(grants.grace(), enrolled.iter().copied());
+        // Slots are no promise: nothing has to be known of what earlier leaders granted.
+        let long = Split::new(now, enrolled.iter().copied());
         let mut lead = Self {
             grants,
             split,
+            long,
             watches: BTreeMap::new(),
             observed: BTreeMap::new(),
             holders: BTreeMap::new(),
@@ -226,6 +235,9 @@
         }
         self.split
             .on_renewal(instance, boot, renewed.confirmed, &renewed.demand);
+        self.set_long_slots(&renewed.long, catalog);
+        self.long
+            .on_renewal(instance, boot, renewed.confirmed, &renewed.long);
         let (ttl, deadline) =
             self.grants
                 .grant(now, instance.as_str(), boot, catalog.revision())?;
@@ -248,7 +260,20 @@
             deadline,
         };
         self.split.grant(now, &answer, &mut quotas);
-        Some(Granted { ttl, quotas })
+        let mut long = Vec::new();
+        self.long.grant(now, &answer, &mut long);
+        Some(Granted { ttl, quotas, long })
+    }
+
+    /// Long work of all entries together leaves one slot of a target to short work.
+    fn set_long_slots(&mut self, wanted: &[(Name, u32)], catalog: &Catalog) {
+        for (name, _) in wanted {
+            if let Some(target) = catalog.target(name.as_str()) {
+                let most = target.slots().saturating_sub(1).max(1);
+                let limit = target.values().slots_long_max.clamp(1, most);
+                self.long.set(name, limit, 0);
+            }
+        }
     }
 
     fn observe(&mut self, now: Instant, watcher: &Name, report: &Report) {
--- a/components/control/src/lead/follow.rs
+++ b/components/control/src/lead/follow.rs
@@ -39,6 +39,7 @@
         for (name, _) in catalog.entries() {
             self.grants.enroll(name);
             self.split.enroll(name);
+            self.long.enroll(name);
         }
         for (name, _) in catalog.targets() {
             self.follow_target(name, catalog);
@@ -93,6 +94,7 @@
         if catalog.is_enrolled(instance.as_str()) {
             self.grants.enroll(instance);
             self.split.enroll(instance);
+            self.long.enroll(instance);
             self.enrolling.remove(instance);
         }
     }
@@ -101,6 +103,7 @@
     pub fn on_dismissed(&mut self, instance: &Name) {
         self.grants.dismiss(instance.as_str());
         self.split.dismiss(instance.as_str());
+        self.long.dismiss(instance.as_str());
         self.holders.remove(instance);
         for watch in self.watches.values_mut() {
             watch.forget(instance.as_str());
@@ -113,6 +116,7 @@
             return;
         }
         self.split.forget(target.as_str());
+        self.long.forget(target.as_str());
         self.watches.remove(target);
         self.observed.remove(target);
     }
--- a/components/control/src/renewal.rs
+++ b/components/control/src/renewal.rs
@@ -31,13 +31,18 @@
             revision,
             confirmed,
             demand,
+            long,
             health,
             announcements,
         } = raw
         else {
             anyhow::bail!("not a renewal");
         };
-        let longest = demand.len().max(health.len()).max(announcements.len());
+        let longest = demand
+            .len()
+            .max(long.len())
+            .max(health.len())
+            .max(announcements.len());
         ensure!(longest <= MAX_TARGETS, "a renewal with {longest} targets");
         let renewed = Renewed {
             seq,
@@ -48,6 +53,10 @@
                 .into_iter()
                 .map(checked_demand)
                 .collect::<Result<_>>()?,
+            long: long
+                .into_iter()
+                .map(checked_demand)
+                .collect::<Result<_>>()?,
             health: health
                 .into_iter()
                 .map(checked_health)
--- a/components/control/src/serve.rs
+++ b/components/control/src/serve.rs
@@ -130,6 +130,7 @@
                     ttl_ms: u32::try_from(granted.ttl.as_millis()).unwrap_or(u32::MAX),
                     revision: self.catalog.revision().0,
                     quotas: granted.quotas.into_iter().map(quota).collect(),
+                    long: granted.long.into_iter().map(quota).collect(),
                 };
                 self.streams.send(id, grant);
             }
--- a/components/control/tests/api.rs
+++ b/components/control/tests/api.rs
@@ -119,6 +119,7 @@
             revision: Revision(revision),
             confirmed: 0,
             demand: Vec::new(),
+            long: Vec::new(),
             health,
         };
         let granted = self
--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -159,7 +159,7 @@
         let held = exchange.take_held();
         let server = &mut self.servers[conn.server];
         if let Some(ticket) = conn.ticket.take() {
-            server.queue.finish(ticket, &mut server.shapes, now);
+            server.queue.finish(ticket, &mut self.shapes, now);
         }
         self.metrics
             .service
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -52,6 +52,8 @@
 pub struct Report {
     /// Connections wanted, by target.
     pub demand: Vec<wire::Demand>,
+    /// Slots for long work wanted, by target.
+    pub long: Vec<wire::Demand>,
     /// What the entry's watches saw.
     pub health: Vec<wire::Health>,
     /// Announcements heard that have not expired.
@@ -80,6 +82,8 @@
     ttl: Duration,
     catalog: Option<Catalog>,
     allowance: Allowance,
+    /// Slots for long work of each target.
+    long: Allowance,
     /// Revision of the last renewal: nothing is acknowledged any more under an older catalog.
     reported: Revision,
     /// End of the lease as it was when a hold of a database was learnt of. Later grants count as
@@ -110,6 +114,7 @@
             ttl: Duration::from_secs(1),
             catalog: None,
             allowance: Allowance::default(),
+            long: Allowance::default(),
             reported: Revision(0),
             holds: HashMap::default(),
         }
@@ -188,6 +193,17 @@
         self.quota(now, target, floor).max(most)
     }
 
+    /// Slots of a target that long work of this entry may hold. Without a lease it has one: long
+    /// work of a cut-off entry goes on, slowly.
+    #[must_use]
+    pub fn long_slots(&self, now: Instant, target: &Name) -> u32 {
+        if self.lease.valid(now) {
+            self.long.allowed(now, target.as_str(), 0)
+        } else {
+            1
+        }
+    }
+
     /// When [`Self::most`] changes next without a new grant.
     #[must_use]
     pub fn allowance_deadline(&self, now: Instant) -> Option<Instant> {
@@ -273,6 +289,8 @@
         if report.within_quotas {
             self.allowance.on_closed();
         }
+        // More long work than there are slots is no harm, and it must not hold connections back.
+        self.long.on_closed();
         self.reported = self.reported.max(self.settled(&report.unfinished));
         let (revision, confirmed) = (self.reported.0, self.allowance.confirmed(now));
         let age_ms = u64::try_from((now - self.started).as_millis()).unwrap_or(u64::MAX);
@@ -286,6 +304,7 @@
             revision,
             confirmed,
             demand: report.demand,
+            long: report.long,
             health: report.health,
             announcements: report.announcements,
         };
@@ -366,7 +385,8 @@
                 ttl_ms,
                 revision,
                 quotas,
-            } => self.on_grant(now, seq, ttl_ms, Revision(revision), quotas),
+                long,
+            } => self.on_grant(now, seq, ttl_ms, Revision(revision), quotas, long),
             Down::Redirect { leader } => {
                 self.leader = leader.and_then(|address| address.parse().ok());
                 self.go_down(now);
@@ -385,6 +405,7 @@
         ttl_ms: u32,
         revision: Revision,
         quotas: Vec<wire::Quota>,
+        long: Vec<wire::Quota>,
     ) -> Result<Change> {
         let ttl = Duration::from_millis(ttl_ms.into());
         let deadline = self.lease.on_grant(seq, ttl, revision, self.revision());
@@ -392,16 +413,8 @@
             return Ok(Change::None);
         };
         self.ttl = ttl;
-        let quota = |raw: wire::Quota| {
-            let target = Name::try_from(raw.target)?;
-            let connections = raw.connections;
-            Ok(Quota {
-                target,
-                connections,
-            })
-        };
-        let quotas = quotas.into_iter().map(quota).collect::<Result<Vec<_>>>()?;
-        self.allowance.on_grant(seq, deadline, &quotas);
+        self.allowance.on_grant(seq, deadline, &checked(quotas)?);
+        self.long.on_grant(seq, deadline, &checked(long)?);
         if let State::Up { silent_at, .. } = &mut self.state {
             *silent_at = now + ttl;
         }
@@ -412,3 +425,15 @@
         self.catalog.as_ref().map_or(Revision(0), Catalog::revision)
     }
 }
+
+fn checked(quotas: Vec<wire::Quota>) -> Result<Vec<Quota>> {
+    let quota = |raw: wire::Quota| {
+        let target = Name::try_from(raw.target)?;
+        let connections = raw.connections;
+        Ok(Quota {
+            target,
+            connections,
+        })
+    };
+    quotas.into_iter().map(quota).collect()
+}
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -111,14 +111,21 @@
             target: server.name.to_string(),
             connections: server.demand(),
         });
+        let long = known().map(|server| (server, server.queue.long_wanted(&self.shapes)));
+        let long = long.filter(|(_, wanted)| *wanted > 0);
+        let long = long.map(|(server, wanted)| wire::Demand {
+            target: server.name.to_string(),
+            connections: wanted,
+        });
         let announcements = self.heard.values().filter(|(_, until)| now < *until);
         Report {
             demand: demand.collect(),
+            long: long.collect(),
             health: health.collect(),
             announcements: announcements
                 .map(|(announcement, _)| announcement.into())
                 .collect(),
-            within_quotas: known().all(|server| server.pool.count().total() <= server.pool.quota()),
+            within_quotas: known().all(Server::is_within_quota),
             unfinished: self.unfinished(),
         }
     }
@@ -186,6 +193,9 @@
                 .target(server.name.as_str())
                 .map_or(0, |t| t.values().connections_floor);
             let quota = self.control.quota(now, &server.name, floor);
+            if server.set_long_slots(self.control.long_slots(now, &server.name)) {
+                due.push((index, Vec::new()));
+            }
             if quota == server.quota {
                 continue;
             }
--- a/components/entry/src/queue.rs
+++ b/components/entry/src/queue.rs
@@ -32,9 +32,12 @@
             class,
             deadline: wait.deadline,
         };
-        match server.queue.submit(work, &server.shapes, now) {
+        match server.queue.submit(work, &self.shapes, now) {
             Ok(ticket) => {
                 server.tickets.insert(ticket, key);
+                if server.lacks_long_slot(work.key, &self.shapes) {
+                    self.control.hasten(now);
+                }
                 caller.state = State::Queued(wait, index, ticket);
                 self.pumped.push(index);
             }
@@ -52,7 +55,7 @@
         let idle = server.pool.count().idle as usize;
         server
             .queue
-            .schedule(idle, &mut server.shapes, now, &mut events);
+            .schedule(idle, &mut self.shapes, now, &mut events);
         for event in events {
             match event {
                 QueueEvent::Start(ticket) => self.start(now, index, ticket),
@@ -163,7 +166,7 @@
             let server = &mut self.servers[conn.server];
             let shape = Key(wait.batch.work.fingerprint);
             if conn.ticket.is_none() {
-                conn.ticket = Some(server.queue.start_bound(shape, &server.shapes, now));
+                conn.ticket = Some(server.queue.start_bound(shape, &self.shapes, now));
             }
         }
         self.run(now, key, conn_key, wait);
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -141,10 +141,12 @@
     pub known: bool,
     /// Connections for statements.
     pub pool: Pool,
+    /// Settings of the queue.
+    limits: queue::Limits,
+    /// Slots that long work of this entry may hold: a part of what all entries together have.
+    long_slots: u32,
     /// Statements that wait or run.
     pub queue: Queue,
-    /// Service times by shape.
-    pub shapes: shape::Table,
     /// When the queue and the connections are looked at next without an event. One timer for both,
     /// since one for each statement would stay until the idle deadline of its connection.
     pub due_at: Option<Instant>,
@@ -177,8 +179,9 @@
             state: State::Serving,
             known: true,
             pool: Pool::new(limits),
-            queue: Queue::new(queue_limits(1, 1, 1)),
-            shapes: shape::Table::default(),
+            limits: queue_limits(1, 0, 1),
+            long_slots: 0,
+            queue: Queue::new(queue_limits(1, 0, 1)),
             due_at: None,
             tickets: HashMap::default(),
             conns: HashMap::default(),
@@ -202,11 +205,8 @@
         self.state = target.state();
         self.domain = target.announcement().domain.clone();
         self.address = target.announcement().address;
-        self.queue.set_limits(queue_limits(
-            target.slots(),
-            values.slots_long_max,
-            values.queue_max_waiting,
-        ));
+        self.limits = queue_limits(target.slots(), self.long_slots, values.queue_max_waiting);
+        self.queue.set_limits(self.limits);
     }
 
     /// Whether it answers its watch; `detect` is the silence that counts as failure.
@@ -267,6 +267,29 @@
         self.watch.last.map(|(_, observed)| observed.point)
     }
 
+    /// Sets the slots that long work may hold. True if they have changed.
+    pub fn set_long_slots(&mut self, slots: u32) -> bool {
+        let changed = self.long_slots != slots;
+        self.long_slots = slots;
+        if changed {
+            self.limits.long_max = slots;
+            self.queue.set_limits(self.limits);
+        }
+        changed
+    }
+
+    /// Whether the connections are within what control has granted.
+    #[must_use]
+    pub fn is_within_quota(&self) -> bool {
+        self.pool.count().total() <= self.pool.quota()
+    }
+
+    /// Whether a statement of this shape has to wait for control to grant a slot for long work.
+    #[must_use]
+    pub fn lacks_long_slot(&self, key: pool::Key, shapes: &shape::Table) -> bool {
+        self.long_slots == 0 && shapes.is_long(key, LONG_AFTER)
+    }
+
     /// Connections that the entry would use if it could.
     #[must_use]
     pub fn demand(&self) -> u32 {
--- a/components/entry/tests/control.rs
+++ b/components/entry/tests/control.rs
@@ -50,6 +50,7 @@
         ttl_ms: 1000,
         revision,
         quotas: quotas.iter().map(quota).collect(),
+        long: vec![],
     }
 }
 
--- a/components/link/tests/stream.rs
+++ b/components/link/tests/stream.rs
@@ -17,6 +17,7 @@
         confirmed: 0,
         revision: 0,
         demand: vec![],
+        long: vec![],
         health: vec![],
         announcements: vec![],
     }
--- a/components/pool/src/queue.rs
+++ b/components/pool/src/queue.rs
@@ -90,7 +90,7 @@
 pub struct Limits {
     /// Statements that run at once.
     pub slots: u32,
-    /// Slots that long work may hold, taken as at least 1 and at most all but one of several.
+    /// Slots that long work may hold, taken as at most all but one of several.
     pub long_max: u32,
     /// Statements that wait.
     pub waiting_max: usize,
@@ -284,14 +284,25 @@
         (self.limits.slots as usize).saturating_sub(self.running.len())
     }
 
-    fn long_running(&self) -> usize {
+    /// Long statements that run.
+    #[must_use]
+    pub fn long_running(&self) -> usize {
         self.running.iter().filter(|running| running.long).count()
     }
 
+    /// Slots that long work would use if it could.
+    #[must_use]
+    pub fn long_wanted(&self, table: &Table) -> u32 {
+        let long = |waiting: &&Waiting| table.is_long(waiting.key, self.threshold);
+        let waiting = self.lines.iter().flatten().flat_map(Line::iter);
+        let wanted = self.long_running() + waiting.filter(long).count();
+        u32::try_from(wanted).unwrap_or(u32::MAX)
+    }
+
     /// Slots for long work: all but one at most, unless there is only one.
     fn long_max(&self) -> usize {
         let most = self.limits.slots.saturating_sub(1).max(1);
-        self.limits.long_max.clamp(1, most) as usize
+        self.limits.long_max.min(most) as usize
     }
 
     /// Wait of a new statement by the work ahead of it. What runs is left out, so that the
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -163,6 +163,7 @@
         revision: u64,
         confirmed: u64,
         demand: Vec<Demand>,
+        long: Vec<Demand>,
         health: Vec<Health>,
         announcements: Vec<Announcement>,
     },
@@ -226,7 +227,7 @@
 pub enum Down {
     Update { revision: u64, command: Command },
     Snapshot { revision: u64, catalog: Bytes },
-    Grant { seq: u64, ttl_ms: u32, revision: u64, quotas: Vec<Quota> },
+    Grant { seq: u64, ttl_ms: u32, revision: u64, quotas: Vec<Quota>, long: Vec<Quota> },
     Redirect { leader: Option<String> },
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -24,6 +24,7 @@
         confirmed: 6,
         revision: 9,
         demand: vec![],
+        long: vec![],
         health: vec![],
         announcements,
     }
--- a/examples/load/fake.rs
+++ b/examples/load/fake.rs
@@ -178,6 +178,7 @@
                     connections: 2,
                 })
                 .collect(),
+            long: Vec::new(),
             health: watched.iter().map(|i| plan.health(*i, now)).collect(),
             announcements: announced.iter().map(|i| plan.announcement(*i)).collect(),
         };
--- a/tests/promises/world.rs
+++ b/tests/promises/world.rs
@@ -278,6 +278,7 @@
                 .iter()
                 .map(|d| (name(&d.target), d.connections))
                 .collect(),
+            long: Vec::new(),
             health: health.into_iter().map(report).collect(),
         };
         let instance = name(&event.entry);
@@ -296,6 +297,7 @@
             ttl_ms: u32::try_from(granted.ttl.as_millis()).unwrap(),
             revision: self.catalog.revision().0,
             quotas: granted.quotas.into_iter().map(quota).collect(),
+            long: granted.long.into_iter().map(quota).collect(),
         };
         entry.grants.insert(seq, grant);
         "granted".to_owned()
