Move work off targets that are frozen

Cause: a frozen or cut-off server keeps its connections open and never answers. Reads on a frozen replica waited likewise. A read that was sent again prepared its statement twice, if the first connection had it: the entry's own ParseComplete had gone out before the target answered.

--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -285,6 +285,7 @@
             "primary"
         );
         self.drop_acks_before(name, term);
+        self.end_old_writes(now, name);
         if let Some(database) = self.databases.get(name) {
             for index in database.servers.clone() {
                 self.watch_soon(now, index);
@@ -294,7 +295,7 @@
 
     /// Routes the waiting statements of a database anew: their target may have been fenced, may be
     /// leaving, or may serve again.
-    fn requeue(&mut self, now: Instant, name: &Name) {
+    pub(crate) fn requeue(&mut self, now: Instant, name: &Name) {
         let Some(database) = self.databases.get(name) else {
             return;
         };
--- a/components/entry/src/lost.rs
+++ b/components/entry/src/lost.rs
@@ -4,6 +4,8 @@
 
 use bytes::BytesMut;
 use pg::{Severity, Status};
+use route::Phase;
+use types::Name;
 
 use crate::batch::End;
 use crate::caller::{State, Transaction, Wait};
@@ -56,8 +58,7 @@
         if sent_commit {
             return self.report_unknown(caller_key, "target_lost");
         }
-        let replay =
-            replay.filter(|_| !forwarded && wait.retries < MAX_RETRIES && now < wait.deadline);
+        let replay = replay.filter(|_| !forwarded && wait.retries < MAX_RETRIES);
         match replay {
             Some(bytes) if self.budget.spend(now) => self.repeat(now, caller_key, wait, &bytes),
             _ => self.report_lost(caller_key, &wait),
@@ -75,6 +76,11 @@
         inbox.extend_from_slice(&caller.inbox);
         caller.inbox = inbox;
         wait.retries += 1;
+        // The deadlines of the first attempt may have passed on a target that froze.
+        let settings = self.databases.get(&caller.database).map(|d| d.settings);
+        let settings = settings.unwrap_or_default();
+        wait.wait_until = now + settings.read_wait;
+        wait.deadline = now + settings.queue_wait;
         self.route(now, key, wait);
     }
 
@@ -104,6 +110,65 @@
         self.ready.push(key);
     }
 
+    /// Ends writes and transactions on targets that are primary no longer. A primary that is frozen
+    /// or cut off keeps its connections open and would never answer.
+    pub(crate) fn end_old_writes(&mut self, now: Instant, name: &Name) {
+        let Some(database) = self.databases.get(name) else {
+            return;
+        };
+        let primary = match database.phase {
+            Phase::Open { primary } => Some(primary),
+            // What was begun before a planned switch ends by itself.
+            Phase::Fenced { hold: Some(_) } => return,
+            Phase::Fenced { hold: None } | Phase::Absent => None,
+        };
+        let servers = database
+            .servers
+            .iter()
+            .filter(|index| Some(**index) != primary);
+        let conns = servers.flat_map(|index| self.servers[*index].conns.values());
+        let old: Vec<ConnKey> = conns.copied().filter(|key| self.may_write(*key)).collect();
+        for key in old {
+            self.on_conn_lost(now, key);
+        }
+    }
+
+    /// Whether the caller of a connection has a write under way or a transaction that may write.
+    fn may_write(&self, key: ConnKey) -> bool {
+        let Some(conn) = self.conns.get(key) else {
+            return false;
+        };
+        let Some(caller) = conn.caller.and_then(|caller| self.callers.get(caller)) else {
+            return false;
+        };
+        let writes = conn
+            .wait
+            .as_ref()
+            .is_some_and(|wait| wait.batch.work.writes);
+        writes || caller.transaction.is_some_and(|open| !open.read_only)
+    }
+
+    /// Gives up every connection to a target that leaves its watch unanswered: statements on them
+    /// would wait for as long as the target is frozen or cut off.
+    pub(crate) fn give_up_conns(&mut self, now: Instant, index: usize) {
+        let conns = self.servers[index].conns.values().copied();
+        for key in conns.collect::<Vec<ConnKey>>() {
+            self.on_conn_lost(now, key);
+        }
+    }
+
+    /// Sends reads again whose target is silent and has answered nothing of them.
+    pub(crate) fn move_reads(&mut self, now: Instant, index: usize) {
+        let conns = self.servers[index].conns.values().copied();
+        let unanswered = conns.filter(|key| {
+            let conn = self.conns.get(*key);
+            conn.is_some_and(|conn| conn.replay.is_some() && !conn.forwarded)
+        });
+        for key in unanswered.collect::<Vec<ConnKey>>() {
+            self.on_conn_lost(now, key);
+        }
+    }
+
     /// Closes a connection at once; what it worked on is not reported.
     pub(crate) fn close_conn(&mut self, now: Instant, key: ConnKey) {
         let Some(conn) = self.conns.remove(key) else {
--- a/components/entry/src/queue.rs
+++ b/components/entry/src/queue.rs
@@ -218,7 +218,13 @@
             exchange.hold();
             exchange.ask_position(&mut conn.out);
         }
-        if exchange.add_own(&mut caller.out).is_ok() && !caller.out.is_empty() {
+        // Answers of the entry's own go with the target's first one, so that nothing has been passed
+        // on when the batch has to be sent again. A flushed batch may have no other answers.
+        if batch.end == End::Flush
+            && exchange.add_own(&mut caller.out).is_ok()
+            && !caller.out.is_empty()
+        {
+            conn.forwarded = true;
             self.dirty_callers.push(key);
         }
         let done = exchange.is_done();
--- a/components/entry/src/watch.rs
+++ b/components/entry/src/watch.rs
@@ -29,6 +29,7 @@
                 if let Some(key) = server.watch.conn {
                     self.metrics.target_failures.add("watch_timeout");
                     self.close_conn(now, key);
+                    self.give_up_conns(now, index);
                 }
                 return;
             }
@@ -180,7 +181,8 @@
         }
     }
 
-    /// Reports a target's silence as soon as it counts as failure, not only with the next renewal.
+    /// Acts on a target's silence as soon as it counts as failure: control hears of it before the
+    /// next renewal, and what waits for the target goes to another one.
     pub(crate) fn on_silence_due(&mut self, now: Instant, index: usize) {
         let server = &self.servers[index];
         let Some(database) = self.databases.get(&server.database) else {
@@ -189,6 +191,9 @@
         let silent_at = server.watch.answered_at + database.settings.detect;
         if server.watch.last.is_some() && now > silent_at {
             self.control.hasten(now);
+            let name = server.database.clone();
+            self.move_reads(now, index);
+            self.requeue(now, &name);
         }
     }
 
--- a/tests/system/callers.rs
+++ b/tests/system/callers.rs
@@ -182,3 +182,37 @@
         );
     });
 }
+
+/// Reads that are under way on a replica when it freezes must be answered by another target: a
+/// frozen server keeps its connections open and never answers.
+#[test]
+fn reads_leave_a_frozen_replica() {
+    run(async {
+        let system = System::start(Options::default()).await;
+        let writer = system.connect(0, None).await.unwrap();
+        writer
+            .execute("INSERT INTO log VALUES (1, 'here')", &[])
+            .await
+            .unwrap();
+        let session = token(&writer).await;
+        let mut readers = Vec::new();
+        for entry in [0, 1, 2, 0, 1, 2] {
+            let reader = system.connect(entry, Some(&session)).await.unwrap();
+            let read = async move {
+                let started = std::time::Instant::now();
+                while started.elapsed() < LIMIT / 2 {
+                    let rows = reader.query("SELECT id FROM log WHERE id = 1", &[]).await;
+                    assert_eq!(rows.unwrap().len(), 1);
+                }
+            };
+            readers.push(tokio::task::spawn_local(read));
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        system.freeze("target-1");
+        system.freeze("target-2");
+        for reader in readers {
+            let ended = tokio::time::timeout(LIMIT, reader).await;
+            ended.expect("every read is answered").unwrap();
+        }
+    });
+}
