Check the history of roaming sessions under two failures

Cause: reads, transactions and roaming were not checked under failures with processes.

Change: six sessions write pairs in transactions, read them back and move between entries with their tokens while primary and control leader are killed; the history crate checks every operation. demo.sh no longer prints the shell's report of the killed primary.

--- a/demo.sh
+++ b/demo.sh
@@ -79,6 +79,8 @@
 start() { # NAME BINARY
   "$bin/$2" --settings "$folder/$1.json" 2> "$folder/$1.log" &
   pids+=($!)
+  # Without this the shell reports the primary that --check kills.
+  disown
 }
 for i in 0 1 2; do start "control-$i" limpettally-control; done
 for i in 0 1 2; do start "target-$i" limpettally-standin; done
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -5,6 +5,7 @@
 mod control;
 mod entries;
 mod harness;
+mod history;
 mod input;
 mod link;
 mod load;
