Use the field's terms for names and comments

Cause: a read-through as a newcomer found names and comments that needed explaining (own, back, front, pump, hasten, greet, Bye, Stranger).

Change: local, connect, startup, schedule, renew_soon, send_hello, Leave, UnknownIdentity; figurative comments are reworded; two comments that did not say what the code does are corrected. The counter reasons own_mixed and stranger are now local_mixed and unknown_identity.

--- a/components/consensus/src/action.rs
+++ b/components/consensus/src/action.rs
@@ -78,7 +78,7 @@
         ready: bool,
     },
     /// An instance answered with an identity that is not in the member list.
-    Stranger(Identity),
+    UnknownIdentity(Identity),
 }
 
 /// Why a request is refused; nothing of it was done.
--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -179,7 +179,7 @@
         // An unknown identity neither counts nor ends the epoch: its disk may have been emptied.
         if member::find(self.log.members(), &from).is_none() {
             if matches!(self.state, State::Leader(_)) {
-                out.push(Action::Stranger(from));
+                out.push(Action::UnknownIdentity(from));
             }
             return;
         }
--- a/components/consensus/tests/cluster.rs
+++ b/components/consensus/tests/cluster.rs
@@ -141,7 +141,7 @@
     );
     let seen = &net.hosts[&net.leader().unwrap()].seen;
     assert!(
-        seen.contains(&Action::Stranger(me)),
+        seen.contains(&Action::UnknownIdentity(me)),
         "the new identity is not reported"
     );
 }
--- a/components/control/src/act.rs
+++ b/components/control/src/act.rs
@@ -71,7 +71,7 @@
                         })
                     });
                 }
-                Action::GiveUp(reason) => {
+                Action::Stalled(reason) => {
                     tracing::warn!(%database, %reason, "change of primary makes no progress");
                     self.metrics.stalled.add(label(&reason));
                 }
--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -236,7 +236,7 @@
         }
     }
 
-    /// Answers all accepted changes, as this instance will hear no more of the entries.
+    /// Answers all accepted changes, as entries renew with the next leader only.
     pub(crate) fn end_confirmations(&mut self, now: Instant) {
         for waiting in std::mem::take(&mut self.confirming) {
             self.answer_confirmed(now, waiting);
--- a/components/control/src/api/change.rs
+++ b/components/control/src/api/change.rs
@@ -59,7 +59,7 @@
     Command::try_from(raw).map_err(|found| reply::findings(&found.0).into())
 }
 
-/// The command that retires a target, once nobody can send it work any more.
+/// The command that retires a target, once no entry can send it work any more.
 ///
 /// # Errors
 /// Returns the refusal.
--- a/components/control/src/join.rs
+++ b/components/control/src/join.rs
@@ -17,7 +17,7 @@
     }
 
     /// Whether the log holds at most the first member list. A founder that has it still counts as
-    /// blank for the others, which may hear of it only after it has founded the cluster.
+    /// blank for the others, which may receive its introduction only after it has founded the cluster.
     fn is_founding(&self) -> bool {
         self.node.last().index <= FOUNDING_INDEX
     }
@@ -103,7 +103,7 @@
                 self.metrics.common.refusals.add("version");
             }
             Ok(Incoming::Hello(hello)) => {
-                self.introductions.hear(hello);
+                self.introductions.record(hello);
                 if self.is_outside() {
                     self.found(now)?;
                 }
--- a/components/control/src/lead.rs
+++ b/components/control/src/lead.rs
@@ -179,7 +179,7 @@
     }
 
     /// Whether the enrolment of an entry has to be proposed now.
-    pub fn wants_enrolment(&mut self, instance: &Name, catalog: &Catalog) -> bool {
+    pub fn should_enroll(&mut self, instance: &Name, catalog: &Catalog) -> bool {
         !catalog.is_enrolled(instance.as_str()) && self.enrolling.insert(instance.clone())
     }
 
@@ -188,7 +188,12 @@
     /// An owner may say `leaving` to some entries only, or the target and its owner may contradict
     /// each other. `leaving` wins while any entry hears it; otherwise the catalog would change with
     /// each renewal.
-    pub fn wants(&mut self, now: Instant, announcement: &Announcement, catalog: &Catalog) -> bool {
+    pub fn should_propose(
+        &mut self,
+        now: Instant,
+        announcement: &Announcement,
+        catalog: &Catalog,
+    ) -> bool {
         let target = &announcement.target;
         if announcement.leaving {
             self.leaving.insert(target.clone(), now + LEAVING);
--- a/components/control/src/log.rs
+++ b/components/control/src/log.rs
@@ -71,7 +71,7 @@
                     ..
                 } => self.promote_member(now, &instance)?,
                 Action::Learner { .. } => {}
-                Action::Stranger(_) => self.metrics.common.refusals.add("stranger"),
+                Action::UnknownIdentity(_) => self.metrics.common.refusals.add("unknown_identity"),
             }
         }
         Ok(())
--- a/components/control/src/members.rs
+++ b/components/control/src/members.rs
@@ -25,7 +25,7 @@
     /// Takes an introduction. A disk that was blank stays so for [`Self::founders`]: once all
     /// founders are known to each other, the first of them to go ahead is blank no longer, and the
     /// others have to make the same list.
-    pub fn hear(&mut self, hello: Hello) {
+    pub fn record(&mut self, hello: Hello) {
         let instance = hello.identity.instance.clone();
         let known = self.heard.get(&instance);
         let was_blank = known.is_some_and(|it| it.founder && it.hello.identity == hello.identity);
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -20,7 +20,7 @@
     "not_found",
     "bad_method",
     "unauthorized",
-    "stranger",
+    "unknown_identity",
 ];
 /// Reasons of the counter `retries`.
 const RETRIES: [&str; 4] = ["position", "promote", "follow", "proposal"];
@@ -36,7 +36,7 @@
     pub revision: Gauge,
     /// Entries connected to this instance.
     pub entries: Gauge,
-    /// Changes of primary that make no progress, by database; raised at each report.
+    /// Changes of primary that make no progress, by reason.
     pub stalled: Reasons,
     detect: Histogram,
     fence: Histogram,
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -127,7 +127,7 @@
     }
 
     /// Introduces this instance again to all.
-    pub fn greet(&self, hello: &convert::Hello) {
+    pub fn send_hello(&self, hello: &convert::Hello) {
         for name in self.streams.keys() {
             self.send(name, convert::hello(hello));
         }
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -29,7 +29,7 @@
 /// Messages that wait for an entry's stream.
 const ENTRY_OUT: usize = 8192;
 /// Interval of introductions while the first member list is not complete.
-const GREETING: Duration = Duration::from_millis(200);
+const HELLO_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Who waits for a proposal.
 #[derive(Debug)]
@@ -64,7 +64,7 @@
     pub(crate) metrics: Set,
     pub(crate) applied: u64,
     pub(crate) compacted: u64,
-    pub(crate) greeting_at: Instant,
+    pub(crate) hello_at: Instant,
     /// Set by SIGTERM: when the process ends although operators' changes wait for their commit.
     pub(crate) stop_at: Option<Instant>,
     /// Something happened that changes of primary under way may wait for. They are stepped once at
@@ -72,7 +72,7 @@
     pub(crate) step_due: bool,
 }
 
-/// Runs a control process until it is told to stop.
+/// Runs a control process until SIGTERM or SIGINT.
 ///
 /// # Errors
 /// Fails if the data folder can't be opened, an address can't be bound, or a write to the disk
@@ -190,7 +190,7 @@
             metrics: Set::new(),
             applied,
             compacted: applied,
-            greeting_at: now,
+            hello_at: now,
             stop_at: None,
             step_due: false,
         };
@@ -237,10 +237,10 @@
             self.peers.deadline(),
             self.lead.as_ref().map(Lead::deadline),
             self.confirm_at(),
-            Some(self.greeting_at),
+            Some(self.hello_at),
             self.stop_at,
         ];
-        due.into_iter().flatten().min().unwrap_or(self.greeting_at)
+        due.into_iter().flatten().min().unwrap_or(self.hello_at)
     }
 
     fn on_event(&mut self, now: Instant, event: Event) -> Result<()> {
@@ -309,10 +309,10 @@
             self.node.on_tick(now, &mut actions);
             self.drive(now, actions)?;
         }
-        if self.greeting_at <= now {
-            self.greeting_at = now + GREETING;
+        if self.hello_at <= now {
+            self.hello_at = now + HELLO_INTERVAL;
             if self.is_outside() {
-                self.peers.greet(&self.hello());
+                self.peers.send_hello(&self.hello());
                 self.found(now)?;
             }
             self.join_returning(now)?;
--- a/components/control/src/serve.rs
+++ b/components/control/src/serve.rs
@@ -42,7 +42,7 @@
                     Revision(revision),
                 )
             }
-            wire::Up::Bye => {
+            wire::Up::Leave => {
                 let ended = self.streams.peer(id).cloned();
                 if let (Some(peer), Some(lead)) = (ended, &mut self.lead) {
                     lead.end(peer.instance.as_str(), peer.boot);
@@ -103,12 +103,12 @@
             return Ok(());
         };
         let mut proposals = Vec::new();
-        if lead.wants_enrolment(&peer.instance, &self.catalog) {
+        if lead.should_enroll(&peer.instance, &self.catalog) {
             let (instance, domain) = (peer.instance.clone(), peer.domain.clone());
             proposals.push(Command::Enroll { instance, domain });
         }
         for announcement in &checked.announcements {
-            if lead.wants(now, announcement, &self.catalog) {
+            if lead.should_propose(now, announcement, &self.catalog) {
                 proposals.push(Command::Announce(announcement.clone()));
             }
         }
--- a/components/control/tests/members.rs
+++ b/components/control/tests/members.rs
@@ -28,7 +28,7 @@
     };
     let mut introductions = Introductions::default();
     for (disk, blank) in heard {
-        introductions.hear(Hello {
+        introductions.record(Hello {
             identity: identity("b", *disk),
             version: wire::VERSION,
             address: "127.0.0.1:7000".to_owned(),
@@ -61,7 +61,7 @@
     };
     let members = [member("a", 1), member("b", 2), member("c", 3)];
     let mut introductions = Introductions::default();
-    introductions.hear(Hello {
+    introductions.record(Hello {
         http: "127.0.0.1:7001".parse().unwrap(),
         identity: identity(instance, disk),
         version: 1,
--- a/components/entry/src/accept.rs
+++ b/components/entry/src/accept.rs
@@ -13,16 +13,16 @@
 
 use crate::caller::{self, Caller, State, Weight};
 use crate::event::{CallerKey, Event};
-use crate::front::{self, Outcome, Started};
-use crate::own::Parameters as _;
+use crate::local::Parameters as _;
 use crate::process::Loop;
-use crate::{back, io};
+use crate::startup::{self, Outcome, Started};
+use crate::{connect, io};
 
 /// Verifier requests of one connection that wait for the loop; each asks once.
 const LOGINS: usize = 1;
 /// Time for a cancel connection to a target.
 pub const CANCEL_LIMIT: Duration = Duration::from_secs(5);
-/// What callers are told that have to leave a stopping entry.
+/// Message of the 57P01 that a stopping entry sends.
 pub const STOPPING: &str = "terminating connection: this entry stops, connect again";
 /// Parameters that drivers rely on, for callers that start before any target has reported its own.
 const DEFAULT_PARAMETERS: [(&str, &str); 7] = [
@@ -62,7 +62,7 @@
                     }
                 }
             };
-            let (outcome, ()) = tokio::join!(front::start(socket, logins, limit), forward);
+            let (outcome, ()) = tokio::join!(startup::start(socket, logins, limit), forward);
             let _ended = events.send(Event::Start(outcome)).await;
         });
     }
@@ -147,7 +147,7 @@
         });
         self.processes.insert(process, key);
         self.metrics.callers.inc();
-        self.greet(key);
+        self.send_startup(key);
     }
 
     fn new_caller(&mut self, database: Name) -> Unstarted {
@@ -173,7 +173,7 @@
         &self,
         caller: &mut Unstarted,
         start: &[(String, String)],
-    ) -> Result<(), crate::own::Refusal> {
+    ) -> Result<(), crate::local::Refusal> {
         let mut view = caller::View {
             session: &mut caller.session,
             max_age: &mut caller.max_age,
@@ -196,7 +196,7 @@
         Ok(())
     }
 
-    fn greet(&mut self, key: CallerKey) {
+    fn send_startup(&mut self, key: CallerKey) {
         let parameters = std::mem::take(&mut self.parameters);
         let Some(caller) = self.callers.get_mut(key) else {
             return;
@@ -222,7 +222,7 @@
             return;
         };
         match event {
-            // It was told that its connection ends: nothing it sends after that may run.
+            // It was sent a FATAL error: nothing that it sends after that may run.
             io::Event::Bytes(_) if caller.closing => return,
             io::Event::Bytes(bytes) if caller.inbox.is_empty() => caller.inbox = bytes,
             io::Event::Bytes(bytes) => caller.inbox.extend_from_slice(&bytes),
@@ -245,7 +245,7 @@
         self.ready.push(key);
     }
 
-    /// The caller has gone: nobody reads its answers any more, and its transaction rolls back.
+    /// The caller has disconnected: its answers are dropped, and its transaction rolls back.
     fn on_caller_closed(&mut self, now: Instant, key: CallerKey) {
         let Some(caller) = self.callers.get_mut(key) else {
             return;
@@ -325,7 +325,7 @@
                 let (process, secret) = (conn.process, conn.secret);
                 let events = self.events.clone();
                 spawn_local(async move {
-                    back::cancel(address, process, secret, CANCEL_LIMIT).await;
+                    connect::cancel(address, process, secret, CANCEL_LIMIT).await;
                     let _ended = events.send(Event::Cancelled(conn_key)).await;
                 });
             }
@@ -367,7 +367,7 @@
     pg::error(&mut out, Severity::Fatal, code, text);
     spawn_local(async move {
         use tokio::io::AsyncWriteExt as _;
-        // The peer may have gone; the refusal stands.
+        // The peer may have disconnected already.
         let _sent = socket.write_all(&out).await;
         let _closed = socket.shutdown().await;
     });
--- a/components/entry/src/ack.rs
+++ b/components/entry/src/ack.rs
@@ -13,7 +13,7 @@
 use crate::event::CallerKey;
 use crate::process::Loop;
 use crate::server::Server;
-use crate::timer::Due;
+use crate::timer::Timer;
 
 /// SQLSTATE of a write whose outcome is not known.
 const UNKNOWN: &str = "08007";
@@ -21,7 +21,7 @@
 const READY_BYTES: usize = 6;
 
 impl Loop {
-    /// The primary has answered a write: decides whether the caller may be told now, later, or
+    /// The primary has answered a write: decides whether the caller gets the answer now, later, or
     /// only that the outcome is not known.
     pub(crate) fn acknowledge(
         &mut self,
@@ -57,7 +57,7 @@
         });
         caller.state = State::Acknowledging;
         self.timers
-            .add(deadline, Due::Acks(caller.database.clone()));
+            .add(deadline, Timer::Acks(caller.database.clone()));
         let name = caller.database.clone();
         self.on_acks(now, &name);
         self.watch_replicas(now, &name);
--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -11,8 +11,8 @@
 use crate::caller::{State, Transaction};
 use crate::event::{ConnKey, Event};
 use crate::process::Loop;
-use crate::server::Use;
-use crate::{back, io};
+use crate::server::Purpose;
+use crate::{connect, io};
 
 /// Largest frame taken from a target.
 const MAX_FRAME: usize = 256 << 20;
@@ -22,7 +22,7 @@
         &mut self,
         now: Instant,
         key: ConnKey,
-        result: Result<Box<back::Opened>, back::Failure>,
+        result: Result<Box<connect::Opened>, connect::Failure>,
     ) {
         let Some(conn) = self.conns.get_mut(key) else {
             return;
@@ -30,7 +30,7 @@
         let (index, purpose) = (conn.server, conn.purpose);
         match result {
             Ok(opened) => {
-                let back::Opened {
+                let connect::Opened {
                     socket,
                     process,
                     secret,
@@ -46,26 +46,26 @@
                     self.parameters = parameters;
                 }
                 match purpose {
-                    Use::Pool(id) => {
+                    Purpose::Pool(id) => {
                         let mut actions = Vec::new();
                         self.servers[index].pool.on_opened(id, now, &mut actions);
                         self.act_on_pool(now, index, actions);
-                        self.pumped.push(index);
+                        self.due_queues.push(index);
                     }
-                    Use::Watch => self.ask(now, index),
+                    Purpose::Watch => self.ask(now, index),
                 }
             }
             Err(failure) => {
                 self.metrics.target_failures.add(failure.as_str());
                 self.conns.remove(key);
                 match purpose {
-                    Use::Pool(id) => {
+                    Purpose::Pool(id) => {
                         let server = &mut self.servers[index];
                         server.conns.remove(&id);
                         server.pool.on_open_failed(id, now, &mut self.rng);
-                        self.pumped.push(index);
+                        self.due_queues.push(index);
                     }
-                    Use::Watch => self.on_watch_lost(now, index),
+                    Purpose::Watch => self.on_watch_lost(now, index),
                 }
             }
         }
@@ -92,7 +92,7 @@
                 return self.on_conn_lost(now, key);
             }
         }
-        if conn.purpose == Use::Watch {
+        if conn.purpose == Purpose::Watch {
             return self.on_watch_bytes(now, key);
         }
         self.relay(now, key);
@@ -104,7 +104,7 @@
             return;
         };
         let Some(exchange) = &mut conn.exchange else {
-            // A target speaks unasked only to end the connection.
+            // Without an exchange, a target sends only the error that precedes its close.
             return self.on_conn_lost(now, key);
         };
         let mut dropped = BytesMut::new();
@@ -164,7 +164,7 @@
         self.metrics
             .service
             .observe((now - conn.started).as_secs_f64());
-        self.pumped.push(conn.server);
+        self.due_queues.push(conn.server);
         conn.replay = None;
         let unsynced = exchange.is_unsynced();
         if let Some(caller) = conn.caller.and_then(|caller| self.callers.get_mut(caller)) {
@@ -191,7 +191,7 @@
         caller.note(&wait.batch, status, unsynced);
         caller.bound = (!free).then_some(key);
         if caller.closing {
-            // The transaction of a caller that has gone is rolled back by closing its connection.
+            // Closing the connection rolls back the transaction of a caller that has disconnected.
             self.remove_caller(now, caller_key);
         } else if held.is_empty() {
             self.ready.push(caller_key);
@@ -232,7 +232,7 @@
         let Some(conn) = self.conns.get(key) else {
             return;
         };
-        let (index, Use::Pool(id)) = (conn.server, conn.purpose) else {
+        let (index, Purpose::Pool(id)) = (conn.server, conn.purpose) else {
             return;
         };
         if conn.cancels > 0 || conn.exchange.is_some() {
@@ -241,7 +241,7 @@
         let mut actions = Vec::new();
         self.servers[index].pool.give_back(id, now, &mut actions);
         self.act_on_pool(now, index, actions);
-        self.pumped.push(index);
+        self.due_queues.push(index);
     }
 
     pub(crate) fn on_cancelled(&mut self, now: Instant, key: ConnKey) {
--- a/components/entry/src/batch.rs
+++ b/components/entry/src/batch.rs
@@ -38,7 +38,7 @@
     /// Statements that need a target connection of their own.
     pub bound: Option<sql::Binding>,
     /// A statement that the entry answers itself.
-    pub own: Option<Own>,
+    pub local: Option<Local>,
     /// Request id that the transaction is to be recorded under.
     pub request: Option<String>,
     /// Whether a statement is executed, and not only prepared.
@@ -53,7 +53,7 @@
 
 /// A statement about the entry's own parameters.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Own {
+pub enum Local {
     /// Sets a parameter.
     Set {
         /// The parameter.
@@ -168,7 +168,7 @@
         let table = self.table;
         match self.names.get(name).and_then(|id| table.get(id)) {
             Some(statement) => self.statement(&statement.text),
-            // The target is not asked: the relay reports the unknown name.
+            // The target reports the unknown name.
             None => self.work.target = true,
         }
     }
@@ -220,15 +220,15 @@
                 local: false,
             } => {
                 self.statements += 1;
-                self.own = Some(Own::Set {
+                self.local = Some(Local::Set {
                     name: name.clone(),
                     value: value.clone(),
                 });
                 return;
             }
-            Kind::Show { name } if name.starts_with(crate::own::PREFIX) => {
+            Kind::Show { name } if name.starts_with(crate::local::PREFIX) => {
                 self.statements += 1;
-                self.own = Some(Own::Show { name: name.clone() });
+                self.local = Some(Local::Show { name: name.clone() });
                 return;
             }
             Kind::Set { name, value, .. } if name == REQUEST_ID => {
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -12,7 +12,7 @@
 use crate::batch::{Batch, End};
 use crate::event::ConnKey;
 use crate::io;
-use crate::own::{Parameters, Refusal};
+use crate::local::{Parameters, Refusal};
 
 /// Longest value of a kept parameter.
 const MAX_VALUE: usize = 256;
@@ -45,7 +45,7 @@
     pub wait_until: Instant,
     /// Until when the batch may wait at all.
     pub deadline: Instant,
-    /// Times that it was sent and provably did not run.
+    /// Times that it was sent again: a read whose target was lost before it answered.
     pub retries: u32,
 }
 
@@ -94,7 +94,7 @@
     /// Connection of the open transaction or series. None while `transaction` is set means that the
     /// transaction's target was lost.
     pub bound: Option<ConnKey>,
-    /// The target of the open transaction was lost, and the caller has not been told yet.
+    /// The target of the open transaction was lost, and no error has reported that to the caller yet.
     pub unreported_loss: bool,
     /// A series of extended messages was flushed and its Sync has not come yet. Invariant: `bound`
     /// is set meanwhile.
@@ -137,7 +137,7 @@
     }
 
     /// Drops what the caller sent up to and including its next Sync, and answers that. Drops what
-    /// there is if the Sync has not arrived; the caller is then closed, as it can't be told which
+    /// there is if the Sync has not arrived; the caller is then closed, since it can't be known which
     /// of its later messages were skipped.
     pub fn skip_to_sync(&mut self, max: usize) {
         while let Ok(Some(frame)) = Frame::first(&self.inbox, max) {
@@ -224,7 +224,7 @@
                     _ => return Err(invalid(name, value)),
                 };
             }
-            _ if name.starts_with(crate::own::PREFIX) => return Err(unknown(name)),
+            _ if name.starts_with(crate::local::PREFIX) => return Err(unknown(name)),
             "client_encoding"
                 if !matches!(
                     &*value.to_ascii_lowercase(),
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -277,8 +277,8 @@
         matches!(&self.state, State::Up { renew_at, .. } if *renew_at <= now)
     }
 
-    /// Makes a renewal due at once, as after a change that control should hear of.
-    pub fn hasten(&mut self, now: Instant) {
+    /// Makes a renewal due at once, as after a change that control needs before the next regular one.
+    pub fn renew_soon(&mut self, now: Instant) {
         if let State::Up { renew_at, .. } = &mut self.state {
             *renew_at = now;
         }
@@ -331,7 +331,7 @@
     pub fn end(&mut self) {
         self.lease.end();
         if let State::Up { out, .. } = &self.state {
-            let _unsent = out.try_send(Up::Bye);
+            let _unsent = out.try_send(Up::Leave);
         }
     }
 
@@ -372,12 +372,12 @@
                     self.holds.insert(database, self.lease.deadline());
                 }
                 // The fence of a change of primary ends when every entry has confirmed it.
-                self.hasten(now);
+                self.renew_soon(now);
                 Ok(Change::Catalog)
             }
             Down::Snapshot { catalog, .. } => {
                 self.catalog = Some(Catalog::decode(&catalog).context("catalog")?);
-                self.hasten(now);
+                self.renew_soon(now);
                 Ok(Change::Catalog)
             }
             Down::Grant {
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -11,7 +11,7 @@
 use crate::caller::{Caller, State, Wait};
 use crate::event::CallerKey;
 use crate::process::Loop;
-use crate::timer::Due;
+use crate::timer::Timer;
 
 /// Longest request id, in bytes.
 const MAX_REQUEST_ID: usize = 200;
@@ -26,7 +26,7 @@
             return;
         }
         if caller.closing {
-            // Removed by the flush, once what it was told last is with its socket.
+            // Removed by the flush, once its last bytes are with its socket.
             return self.dirty_callers.push(key);
         }
         let next = batch::next(
@@ -70,7 +70,7 @@
             return self.answer_lost(key, &batch);
         }
         if !target && !caller.unsynced {
-            return self.answer_own(key, &batch);
+            return self.answer_locally(key, &batch);
         }
         if let Some(Objection { label, code, text }) = objection(caller, &batch) {
             return self.refuse_batch(key, &batch, label, code, &text);
@@ -138,7 +138,7 @@
             Choice::Wait { until, watch } => {
                 database.routing.push(key);
                 self.timers
-                    .add(until, Due::Routing(caller.database.clone()));
+                    .add(until, Timer::Routing(caller.database.clone()));
                 caller.state = State::Routing(wait);
                 if let Some(server) = watch {
                     self.watch_soon(now, server);
@@ -203,9 +203,9 @@
         let text = format!("not run: {text}");
         Some(Objection { label, code, text })
     };
-    if work.own.is_some() || work.request.is_some() && work.statements > 1 {
+    if work.local.is_some() || work.request.is_some() && work.statements > 1 {
         let text = "a statement about limpettally's parameters goes alone";
-        return object("own_mixed", "0A000", text);
+        return object("local_mixed", "0A000", text);
     }
     if let Some(id) = &work.request {
         if batch.end != End::Simple {
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -5,7 +5,7 @@
 use tokio::sync::mpsc;
 use wire::{Down, Up};
 
-use crate::{back, front, io};
+use crate::{connect, io, startup};
 
 new_key_type! {
     /// Identity of a caller's connection, never used twice.
@@ -20,13 +20,13 @@
     /// A connection arrived on the callers' address.
     Accepted(TcpStream),
     /// A connection wants to authenticate.
-    Login(front::Login),
+    Login(startup::Login),
     /// The start of a connection has ended.
-    Start(front::Outcome),
+    Start(startup::Outcome),
     /// A caller's connection.
     Caller(CallerKey, io::Event),
     /// An attempt to open a connection to a target has ended.
-    Opened(ConnKey, Result<Box<back::Opened>, back::Failure>),
+    Opened(ConnKey, Result<Box<connect::Opened>, connect::Failure>),
     /// A connection to a target.
     Conn(ConnKey, io::Event),
     /// A cancel connection to a target has closed.
@@ -47,8 +47,8 @@
     }
 }
 
-impl From<front::Login> for Event {
-    fn from(login: front::Login) -> Self {
+impl From<startup::Login> for Event {
+    fn from(login: startup::Login) -> Self {
         Self::Login(login)
     }
 }
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -14,7 +14,7 @@
 use crate::event::Event;
 use crate::process::Loop;
 use crate::server::Server;
-use crate::timer::Due;
+use crate::timer::Timer;
 
 /// Pause between a change of the catalog and its writing to the file, so that a series of changes
 /// is written once.
@@ -152,7 +152,7 @@
     /// Tells control at once when the last transaction before a hold may have ended.
     pub(crate) fn report_if_held(&mut self, now: Instant, name: &Name) {
         if self.is_held(name) {
-            self.control.hasten(now);
+            self.control.renew_soon(now);
         }
     }
 
@@ -177,7 +177,7 @@
             self.on_conn_lost(now, key);
         }
         if let Some(at) = self.control.allowance_deadline(now) {
-            self.timers.add(at, Due::Quotas);
+            self.timers.add(at, Timer::Quotas);
         }
     }
 
@@ -212,7 +212,7 @@
         }
         for (index, actions) in due {
             self.act_on_pool(now, index, actions);
-            self.pumped.push(index);
+            self.due_queues.push(index);
         }
         for key in unwatched {
             self.drop_conn(now, key);
@@ -235,7 +235,7 @@
                     let index = self.servers.len();
                     self.servers.push(Server::new(target.announcement(), now));
                     self.indices.insert(name.clone(), index);
-                    self.timers.add(now, Due::Watch(index));
+                    self.timers.add(now, Timer::Watch(index));
                     index
                 }
             };
@@ -269,7 +269,7 @@
             self.requeue(now, &name);
         }
         if !std::mem::replace(&mut self.unsaved, true) {
-            self.timers.add(now + SAVE_PAUSE, Due::Save);
+            self.timers.add(now + SAVE_PAUSE, Timer::Save);
         }
     }
 
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -3,25 +3,25 @@
 mod accept;
 mod ack;
 mod answer;
-mod back;
 #[doc(hidden)]
 pub mod batch;
 mod caller;
+mod connect;
 pub mod control;
 mod database;
 mod dispatch;
 mod event;
 mod follow;
-mod front;
 mod io;
+mod local;
 mod lost;
 mod metrics;
-mod own;
 mod process;
 mod queue;
 mod refuse;
 mod serve;
 mod server;
+mod startup;
 mod stop;
 mod timer;
 mod watch;
--- a/components/entry/src/own.rs
+++ b/components/entry/src/local.rs
@@ -4,7 +4,7 @@
 use pg::{Frames, Kind as Object, Message, Severity, Status};
 use relay::statement::{Names, Table};
 
-use crate::batch::Own;
+use crate::batch::Local;
 
 /// Prefix of the entry's own parameters.
 pub const PREFIX: &str = "limpettally.";
@@ -36,7 +36,7 @@
 /// Answers a batch whose only statement is `own`. False if the statement was refused.
 pub fn answer<P: Parameters>(
     frames: Frames<'_>,
-    own: &Own,
+    statement: &Local,
     parameters: &mut P,
     names: &mut Names,
     table: &mut Table,
@@ -54,8 +54,8 @@
         }
         match message {
             Message::Query(_) => {
-                describe(own, out);
-                refused |= !run(own, parameters, out);
+                describe(statement, out);
+                refused |= !run(statement, parameters, out);
                 pg::ready(out, status);
             }
             Message::Parse { name, text, types } => {
@@ -68,11 +68,11 @@
             Message::Bind { .. } => pg::bind_complete(out),
             Message::Describe(Object::Statement, _) => {
                 pg::no_parameters(out);
-                describe_or_none(own, out);
+                describe_or_none(statement, out);
             }
-            Message::Describe(Object::Portal, _) => describe_or_none(own, out),
+            Message::Describe(Object::Portal, _) => describe_or_none(statement, out),
             Message::Execute => {
-                skip = !run(own, parameters, out);
+                skip = !run(statement, parameters, out);
                 refused |= skip;
             }
             Message::Close(..) => out.extend_from_slice(pg::CLOSE_COMPLETE),
@@ -83,30 +83,30 @@
     !refused
 }
 
-fn describe(own: &Own, out: &mut BytesMut) {
-    if let Own::Show { name } = own {
+fn describe(statement: &Local, out: &mut BytesMut) {
+    if let Local::Show { name } = statement {
         pg::text_column(out, name);
     }
 }
 
-fn describe_or_none(own: &Own, out: &mut BytesMut) {
-    match own {
-        Own::Show { name } => pg::text_column(out, name),
-        Own::Set { .. } | Own::Rollback => pg::no_data(out),
+fn describe_or_none(statement: &Local, out: &mut BytesMut) {
+    match statement {
+        Local::Show { name } => pg::text_column(out, name),
+        Local::Set { .. } | Local::Rollback => pg::no_data(out),
     }
 }
 
 /// Runs the statement. False if it was refused.
-fn run<P: Parameters>(own: &Own, parameters: &mut P, out: &mut BytesMut) -> bool {
-    let result = match own {
-        Own::Show { name } => parameters.show(name).map(|value| {
+fn run<P: Parameters>(statement: &Local, parameters: &mut P, out: &mut BytesMut) -> bool {
+    let result = match statement {
+        Local::Show { name } => parameters.show(name).map(|value| {
             pg::text_row(out, &value);
             pg::complete(out, "SHOW");
         }),
-        Own::Set { name, value } => parameters
+        Local::Set { name, value } => parameters
             .set(name, value)
             .map(|()| pg::complete(out, "SET")),
-        Own::Rollback => {
+        Local::Rollback => {
             pg::complete(out, "ROLLBACK");
             Ok(())
         }
--- a/components/entry/src/lost.rs
+++ b/components/entry/src/lost.rs
@@ -11,9 +11,9 @@
 use crate::caller::{State, Transaction, Wait};
 use crate::event::{CallerKey, ConnKey};
 use crate::process::Loop;
-use crate::server::Use;
+use crate::server::Purpose;
 
-/// Times that a batch is sent again after it provably did not run.
+/// Times that a read is sent again after its target was lost.
 const MAX_RETRIES: u32 = 2;
 /// SQLSTATE of a statement that a lost target took with it, without effect.
 pub const TARGET_LOST: &str = "57L09";
@@ -179,12 +179,12 @@
             server.queue.abandon(ticket);
         }
         match conn.purpose {
-            Use::Pool(id) => {
+            Purpose::Pool(id) => {
                 server.conns.remove(&id);
                 server.pool.on_closed(id);
-                self.pumped.push(conn.server);
+                self.due_queues.push(conn.server);
             }
-            Use::Watch => self.on_watch_lost(now, conn.server),
+            Purpose::Watch => self.on_watch_lost(now, conn.server),
         }
     }
 
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -27,7 +27,7 @@
     "too_many_starting",
     "unknown_database",
     "session_bound",
-    "own_mixed",
+    "local_mixed",
     "invalid_frame",
     "transaction_lost",
     "target_lost",
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -21,10 +21,10 @@
 use crate::control::Control;
 use crate::database::Database;
 use crate::event::{CallerKey, ConnKey, Event};
-use crate::front::Verifier;
 use crate::io;
 use crate::metrics::Set;
 use crate::server::{Conn, Server};
+use crate::startup::Verifier;
 use crate::stop::Stop;
 use crate::timer::Timers;
 
@@ -79,7 +79,7 @@
     /// Callers whose next batch is due.
     pub(crate) ready: Vec<CallerKey>,
     /// Targets whose queue is due.
-    pub(crate) pumped: Vec<usize>,
+    pub(crate) due_queues: Vec<usize>,
     /// Parameters that targets reported, for the start of callers.
     pub(crate) parameters: Vec<(String, String)>,
     /// The lease has run out, as last seen.
@@ -88,7 +88,7 @@
     pub(crate) stop: Option<Stop>,
 }
 
-/// Runs an entry process until it is told to stop.
+/// Runs an entry process until SIGTERM or SIGINT.
 ///
 /// # Errors
 /// Fails if an address can't be bound.
@@ -182,7 +182,7 @@
             dirty_conns: Vec::new(),
             dirty_callers: Vec::new(),
             ready: Vec::new(),
-            pumped: Vec::new(),
+            due_queues: Vec::new(),
             parameters: Vec::new(),
             lease_ended: false,
             stop: None,
@@ -250,8 +250,8 @@
         loop {
             if let Some(key) = self.ready.pop() {
                 self.advance(now, key);
-            } else if let Some(server) = self.pumped.pop() {
-                self.pump(now, server);
+            } else if let Some(server) = self.due_queues.pop() {
+                self.schedule(now, server);
             } else {
                 return;
             }
--- a/components/entry/src/queue.rs
+++ b/components/entry/src/queue.rs
@@ -6,13 +6,13 @@
 use pool::{Class, Event as QueueEvent, Key, Work, connection, queue};
 use tokio::task::spawn_local;
 
-use crate::back;
 use crate::batch::End;
 use crate::caller::{State, Wait, Weight};
+use crate::connect;
 use crate::event::{CallerKey, ConnKey, Event};
 use crate::process::Loop;
-use crate::server::{Conn, Use};
-use crate::timer::Due;
+use crate::server::{Conn, Purpose};
+use crate::timer::Timer;
 
 /// Time for opening a connection to a target.
 const OPEN_LIMIT: Duration = Duration::from_secs(2);
@@ -36,10 +36,10 @@
             Ok(ticket) => {
                 server.tickets.insert(ticket, key);
                 if server.lacks_long_slot(work.key, &self.shapes) {
-                    self.control.hasten(now);
+                    self.control.renew_soon(now);
                 }
                 caller.state = State::Queued(wait, index, ticket);
-                self.pumped.push(index);
+                self.due_queues.push(index);
             }
             Err(refusal) => {
                 let (label, code) = (refusal.label(), refusal.sqlstate());
@@ -49,7 +49,7 @@
     }
 
     /// Starts what a target's queue allows and opens connections for the rest.
-    pub(crate) fn pump(&mut self, now: Instant, index: usize) {
+    pub(crate) fn schedule(&mut self, now: Instant, index: usize) {
         let server = &mut self.servers[index];
         let mut events = Vec::new();
         let idle = server.pool.count().idle as usize;
@@ -74,7 +74,7 @@
             && server.due_at.is_none_or(|due_at| at < due_at)
         {
             server.due_at = Some(at);
-            self.timers.add(at, Due::Queue(index));
+            self.timers.add(at, Timer::Queue(index));
         }
         self.act_on_pool(now, index, actions);
     }
@@ -88,7 +88,7 @@
         for action in actions {
             match action {
                 connection::Action::Open(id) => {
-                    let key = self.open(index, Use::Pool(id));
+                    let key = self.open(index, Purpose::Pool(id));
                     self.servers[index].conns.insert(id, key);
                 }
                 connection::Action::Close(id) => {
@@ -103,7 +103,7 @@
     }
 
     /// Starts opening a connection.
-    pub(crate) fn open(&mut self, index: usize, purpose: Use) -> ConnKey {
+    pub(crate) fn open(&mut self, index: usize, purpose: Purpose) -> ConnKey {
         let key = self
             .conns
             .insert(Conn::new(index, purpose, crate::process::now()));
@@ -111,7 +111,7 @@
         let (address, database) = (server.address, server.database.clone());
         let (user, events) = (self.settings.target_user.clone(), self.events.clone());
         spawn_local(async move {
-            let opened = back::open(address, &user, database.as_str(), OPEN_LIMIT).await;
+            let opened = connect::open(address, &user, database.as_str(), OPEN_LIMIT).await;
             let _ended = events.send(Event::Opened(key, opened.map(Box::new))).await;
         });
         key
--- a/components/entry/src/refuse.rs
+++ b/components/entry/src/refuse.rs
@@ -3,29 +3,29 @@
 use bytes::Buf as _;
 use pg::{Frames, Severity, Status};
 
-use crate::batch::{Batch, End, Own};
+use crate::batch::{Batch, End, Local};
 use crate::caller::State;
 use crate::event::CallerKey;
+use crate::local;
 use crate::lost::TARGET_LOST;
-use crate::own;
 use crate::process::Loop;
 
 /// SQLSTATE of statements in a failed transaction.
 const IN_FAILED_TRANSACTION: &str = "25P02";
 
 impl Loop {
-    pub(crate) fn answer_own(&mut self, key: CallerKey, batch: &Batch) {
+    pub(crate) fn answer_locally(&mut self, key: CallerKey, batch: &Batch) {
         let Some(caller) = self.callers.get_mut(key) else {
             return;
         };
         let bytes = caller.inbox.split_to(batch.length);
         let frames = Frames::new(&bytes, usize::MAX);
         let status = caller.status;
-        let own = batch.work.own.clone().unwrap_or(Own::Rollback);
+        let own = batch.work.local.clone().unwrap_or(Local::Rollback);
         let mut out = caller.out.split();
         let mut names = std::mem::take(&mut caller.names);
         let mut view = caller.view(&self.signer);
-        let answered = own::answer(
+        let answered = local::answer(
             frames,
             &own,
             &mut view,
@@ -52,7 +52,7 @@
         };
         let work = &batch.work;
         if work.statements == 0 {
-            return self.answer_own(key, batch);
+            return self.answer_locally(key, batch);
         }
         let unreported = std::mem::take(&mut caller.unreported_loss);
         let ends = work.statements == 1 && (work.commits || work.rolls_back);
@@ -69,8 +69,8 @@
         }
         if ends {
             let mut batch = batch.clone();
-            batch.work.own = Some(Own::Rollback);
-            return self.answer_own(key, &batch);
+            batch.work.local = Some(Local::Rollback);
+            return self.answer_locally(key, &batch);
         }
         let text =
             "current transaction is aborted, commands ignored until end of transaction block";
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -6,22 +6,22 @@
 use observe::http::{Request, Response};
 
 use crate::process::Loop;
-use crate::timer::Due;
+use crate::timer::Timer;
 
 impl Loop {
     pub(crate) fn on_timers(&mut self, now: Instant) {
         while let Some(due) = self.timers.pop(now) {
             match due {
-                Due::Watch(index) => self.on_watch_due(now, index),
-                Due::Queue(index) => {
+                Timer::Watch(index) => self.on_watch_due(now, index),
+                Timer::Queue(index) => {
                     self.servers[index].due_at = None;
-                    self.pumped.push(index);
+                    self.due_queues.push(index);
                 }
-                Due::Routing(name) => self.reroute(now, &name),
-                Due::Acks(name) => self.on_acks(now, &name),
-                Due::Save => self.save(),
-                Due::Quotas => self.on_quotas(now),
-                Due::Silence(index) => self.on_silence_due(now, index),
+                Timer::Routing(name) => self.reroute(now, &name),
+                Timer::Acks(name) => self.on_acks(now, &name),
+                Timer::Save => self.save(),
+                Timer::Quotas => self.on_quotas(now),
+                Timer::Silence(index) => self.on_silence_due(now, index),
             }
         }
         let ended = self
@@ -113,7 +113,7 @@
             .insert(announcement.target.clone(), (announcement, now + ttl));
         self.heard.retain(|_, (_, until)| now < *until);
         if news && !known {
-            self.control.hasten(now);
+            self.control.renew_soon(now);
         }
     }
 }
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -16,7 +16,7 @@
 use crate::event::{CallerKey, ConnKey};
 use crate::io;
 
-/// Interval of a watch's questions when nobody waits for an answer.
+/// Interval of position queries when no write or read waits for an answer.
 pub const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval while a write or a read waits for a replica that made no progress.
 pub const WATCH_WAITED: Duration = Duration::from_millis(1);
@@ -33,7 +33,7 @@
 
 /// What a connection is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Use {
+pub enum Purpose {
     /// Statements of callers, under its id in the pool.
     Pool(connection::Id),
     /// Role and position.
@@ -46,7 +46,7 @@
     /// Index of the target.
     pub server: usize,
     /// What it is for.
-    pub purpose: Use,
+    pub purpose: Purpose,
     /// Its socket, once it is open.
     pub handle: Option<io::Handle>,
     /// Bytes that hold no complete frame yet.
@@ -73,7 +73,7 @@
     pub process: i32,
     /// Secret for CancelRequest.
     pub secret: i32,
-    /// Cancel connections under way; the connection serves nobody else meanwhile.
+    /// Cancel connections under way; the connection takes no other exchange meanwhile.
     pub cancels: u32,
     /// Parameters that were set on it.
     pub parameters: Vec<(String, String)>,
@@ -82,7 +82,7 @@
 impl Conn {
     /// A connection that is being opened.
     #[must_use]
-    pub fn new(server: usize, purpose: Use, now: Instant) -> Self {
+    pub fn new(server: usize, purpose: Purpose, now: Instant) -> Self {
         Self {
             server,
             purpose,
--- a/components/entry/src/front.rs
+++ b/components/entry/src/startup.rs
@@ -268,7 +268,7 @@
         };
         let mut out = BytesMut::new();
         pg::error(&mut out, Severity::Fatal, code, text);
-        // The peer may have gone; the refusal stands.
+        // The peer may have disconnected already.
         let _sent = self.socket.write_all(&out).await;
         let _closed = self.socket.shutdown().await;
         Ok(Outcome::Refused(reason))
--- a/components/entry/src/stop.rs
+++ b/components/entry/src/stop.rs
@@ -32,7 +32,7 @@
 }
 
 impl Loop {
-    /// Begins a graceful stop: what runs goes on, callers between transactions are told to go.
+    /// Begins a graceful stop: what runs goes on, connections between transactions are ended.
     pub(crate) fn on_stop(&mut self, now: Instant) {
         if self.stop.is_some() {
             return;
--- a/components/entry/src/timer.rs
+++ b/components/entry/src/timer.rs
@@ -9,10 +9,10 @@
 /// What is due. Each is checked against the state when it comes up, so that one that was set for
 /// something that has ended does no harm.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Due {
+pub enum Timer {
     /// The watch of a target.
     Watch(usize),
-    /// The silence of a watched target, which control is told of at once.
+    /// The end of the time that a watched target may be silent.
     Silence(usize),
     /// The queue and the connections of a target.
     Queue(usize),
@@ -29,12 +29,12 @@
 /// Deadlines, the next first.
 #[derive(Debug, Default)]
 pub struct Timers {
-    heap: BinaryHeap<Reverse<(Instant, Due)>>,
+    heap: BinaryHeap<Reverse<(Instant, Timer)>>,
 }
 
 impl Timers {
     /// Adds a deadline.
-    pub fn add(&mut self, at: Instant, due: Due) {
+    pub fn add(&mut self, at: Instant, due: Timer) {
         self.heap.push(Reverse((at, due)));
     }
 
@@ -45,7 +45,7 @@
     }
 
     /// Takes what is due.
-    pub fn pop(&mut self, now: Instant) -> Option<Due> {
+    pub fn pop(&mut self, now: Instant) -> Option<Timer> {
         if self.next()? > now {
             return None;
         }
--- a/components/entry/src/watch.rs
+++ b/components/entry/src/watch.rs
@@ -11,8 +11,8 @@
 
 use crate::event::ConnKey;
 use crate::process::Loop;
-use crate::server::{Use, WATCH_INTERVAL, WATCH_RETRY, WATCH_TIMEOUT, WATCH_WAITED};
-use crate::timer::Due;
+use crate::server::{Purpose, WATCH_INTERVAL, WATCH_RETRY, WATCH_TIMEOUT, WATCH_WAITED};
+use crate::timer::Timer;
 
 /// Largest frame of an answer to the position query.
 const MAX_FRAME: usize = 64 << 10;
@@ -23,7 +23,7 @@
         let server = &mut self.servers[index];
         match server.watch.next_at {
             Some(at) if at <= now => {}
-            Some(at) => return self.timers.add(at, Due::Watch(index)),
+            Some(at) => return self.timers.add(at, Timer::Watch(index)),
             None if now >= server.watch.asked_at + WATCH_TIMEOUT => {
                 // The target took the question and does not answer.
                 if let Some(key) = server.watch.conn {
@@ -38,14 +38,14 @@
         if !server.known || server.quota == 0 {
             server.watch.since = now;
             server.watch.next_at = Some(now + WATCH_INTERVAL);
-            return self.timers.add(now + WATCH_INTERVAL, Due::Watch(index));
+            return self.timers.add(now + WATCH_INTERVAL, Timer::Watch(index));
         }
         match server.watch.conn {
             Some(_) => self.ask(now, index),
             None => {
                 server.watch.next_at = None;
                 server.watch.asked_at = now;
-                let key = self.open(index, Use::Watch);
+                let key = self.open(index, Purpose::Watch);
                 self.servers[index].watch.conn = Some(key);
             }
         }
@@ -64,7 +64,7 @@
         exchange.ask_position(&mut conn.out);
         conn.exchange = Some(exchange);
         self.dirty_conns.push(key);
-        self.timers.add(now + WATCH_TIMEOUT, Due::Watch(index));
+        self.timers.add(now + WATCH_TIMEOUT, Timer::Watch(index));
     }
 
     pub(crate) fn on_watch_bytes(&mut self, now: Instant, key: ConnKey) {
@@ -117,10 +117,10 @@
         server.watch.answered_at = now;
         // Just past the limit, as control compares in milliseconds.
         let silent_at = now + detect.unwrap_or_default() + Duration::from_millis(2);
-        self.timers.add(silent_at, Due::Silence(index));
+        self.timers.add(silent_at, Timer::Silence(index));
         let name = server.database.clone();
         if was_silent {
-            self.control.hasten(now);
+            self.control.renew_soon(now);
         }
         if answer.role == Role::Primary
             && let Some(end) = self.control.lease().deadline()
@@ -150,7 +150,7 @@
             WATCH_INTERVAL
         };
         server.watch.next_at = Some(now + pause);
-        self.timers.add(now + pause, Due::Watch(index));
+        self.timers.add(now + pause, Timer::Watch(index));
     }
 
     /// Asks a target now, unless an answer is awaited anyway.
@@ -190,7 +190,7 @@
         };
         let silent_at = server.watch.answered_at + database.settings.detect;
         if server.watch.last.is_some() && now > silent_at {
-            self.control.hasten(now);
+            self.control.renew_soon(now);
             let name = server.database.clone();
             self.move_reads(now, index);
             self.requeue(now, &name);
@@ -201,6 +201,6 @@
         let watch = &mut self.servers[index].watch;
         watch.conn = None;
         watch.next_at = Some(now + WATCH_RETRY);
-        self.timers.add(now + WATCH_RETRY, Due::Watch(index));
+        self.timers.add(now + WATCH_RETRY, Timer::Watch(index));
     }
 }
--- a/components/failover/src/change.rs
+++ b/components/failover/src/change.rs
@@ -118,7 +118,7 @@
         primary: Name,
     },
     /// Tell the operator; the machine goes on trying.
-    GiveUp(Reason),
+    Stalled(Reason),
     /// Add to a stage's histogram.
     Observe(Stage, Duration),
 }
@@ -133,7 +133,7 @@
             }
             Self::Promote { target, term } => write!(f, "promote {target} for term {}", term.0),
             Self::Follow { target, primary } => write!(f, "let {target} follow {primary}"),
-            Self::GiveUp(reason) => write!(f, "no progress: {reason}"),
+            Self::Stalled(reason) => write!(f, "no progress: {reason}"),
             Self::Observe(stage, took) => write!(f, "{}: {took:?}", stage.metric()),
         }
     }
@@ -232,10 +232,10 @@
             return;
         }
         if term != *wanted {
-            return work.tell(Reason::OtherTerm(target.clone(), term), out);
+            return work.report(Reason::OtherTerm(target.clone(), term), out);
         }
         if start < database.point().lsn {
-            return work.tell(Reason::Emptied(target.clone()), out);
+            return work.report(Reason::Emptied(target.clone()), out);
         }
         work.start = Some(start);
         if let Some(fenced) = self.clock.fenced.take() {
@@ -264,7 +264,7 @@
         let work = self.work.as_mut().filter(|work| work.is_of(database));
         if let (Outcome::Refused(findings), Some(work)) = (outcome, work) {
             let texts: Vec<String> = findings.iter().map(ToString::to_string).collect();
-            work.tell(Reason::Refused(texts.join("; ")), out);
+            work.report(Reason::Refused(texts.join("; ")), out);
         }
     }
 }
--- a/components/failover/src/step.rs
+++ b/components/failover/src/step.rs
@@ -100,8 +100,8 @@
         }
     }
 
-    fn tell(&mut self, reason: Reason) {
-        self.work.tell(reason, self.out);
+    fn report(&mut self, reason: Reason) {
+        self.work.report(reason, self.out);
     }
 
     fn is_late(&self) -> bool {
@@ -154,7 +154,7 @@
                 target,
                 start: point.lsn,
             }),
-            None if self.is_late() => self.tell(Reason::NoSinglePrimary),
+            None if self.is_late() => self.report(Reason::NoSinglePrimary),
             None => {}
         }
     }
@@ -208,7 +208,7 @@
     fn fail(&mut self, term: Term, silent: Duration) {
         if self.catalog.members(self.name.as_str()).count() < 2 {
             // A fence would only delay the primary's return.
-            return self.tell(Reason::NoReplica);
+            return self.report(Reason::NoReplica);
         }
         if self.clock.failed.is_none() {
             self.clock.failed = Some(self.now);
@@ -286,7 +286,7 @@
         }
         *self.pause = Some(self.now + PAUSE);
         self.undo();
-        self.tell(Reason::Undone);
+        self.report(Reason::Undone);
     }
 
     /// Undoes the fence.
@@ -338,7 +338,7 @@
             }
             if late {
                 let Count { needed, had, .. } = count;
-                self.tell(Reason::TooFew { needed, had });
+                self.report(Reason::TooFew { needed, had });
             }
             return;
         }
@@ -372,7 +372,7 @@
             self.out.push(Action::Promote { target, term });
         }
         if self.is_late() {
-            self.tell(Reason::NoPromotion(target.clone()));
+            self.report(Reason::NoPromotion(target.clone()));
         }
     }
 }
--- a/components/failover/src/work.rs
+++ b/components/failover/src/work.rs
@@ -35,7 +35,7 @@
     pub healthy: bool,
     pub followed: Option<Instant>,
     pub following: BTreeSet<Name>,
-    pub told: Option<Reason>,
+    pub reported: Option<Reason>,
 }
 
 impl Work {
@@ -55,7 +55,7 @@
             healthy: false,
             followed: None,
             following: BTreeSet::new(),
-            told: None,
+            reported: None,
         }
     }
 
@@ -78,10 +78,10 @@
     }
 
     /// Tells the operator a reason once in a row.
-    pub fn tell(&mut self, reason: Reason, out: &mut Vec<Action>) {
-        if self.told.as_ref() != Some(&reason) {
-            self.told = Some(reason.clone());
-            out.push(Action::GiveUp(reason));
+    pub fn report(&mut self, reason: Reason, out: &mut Vec<Action>) {
+        if self.reported.as_ref() != Some(&reason) {
+            self.reported = Some(reason.clone());
+            out.push(Action::Stalled(reason));
         }
     }
 }
--- a/components/failover/tests/support/mod.rs
+++ b/components/failover/tests/support/mod.rs
@@ -155,7 +155,7 @@
             Action::Query { target, round } => self.query(&target, round),
             Action::Promote { target, term } => self.promote(&target, term, out),
             Action::Follow { target, primary } => self.follow(target, primary),
-            Action::GiveUp(reason) => self.reasons.push(reason),
+            Action::Stalled(reason) => self.reasons.push(reason),
             Action::Observe(stage, took) => self.stages.push((stage, took)),
         }
     }
--- a/components/link/src/stream.rs
+++ b/components/link/src/stream.rs
@@ -159,7 +159,7 @@
                 }
             }
         };
-        // The loop may have ended already; then nobody is left to tell.
+        // The loop may have ended already.
         let _sent = events.send(wrap(Event::Closed(error))).await;
     }
 }
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -101,7 +101,7 @@
         self.hold.take()
     }
 
-    /// Sends statements of the entry's own, whose answers nobody gets.
+    /// Sends statements of the entry's own, whose answers are dropped.
     pub fn set_up(&mut self, text: &str, out: &mut BytesMut) {
         pg::query(out, text.as_bytes());
         self.expected.push_back(Expected::SetUp);
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -167,7 +167,7 @@
         health: Vec<Health>,
         announcements: Vec<Announcement>,
     },
-    Bye,
+    Leave,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Seat {
--- a/examples/load/entries.rs
+++ b/examples/load/entries.rs
@@ -140,7 +140,7 @@
     fn on_event(&mut self, now: Instant, event: Event) -> Result<()> {
         match event {
             Event::Open(index, Some(out)) => {
-                self.fakes[index].greet(out);
+                self.fakes[index].send_hello(out);
                 self.fakes[index].renew_at = now;
             }
             Event::Open(index, None) => self.dial(index),
--- a/examples/load/fake.rs
+++ b/examples/load/fake.rs
@@ -128,7 +128,7 @@
     }
 
     /// Sends the introduction.
-    pub fn greet(&mut self, out: mpsc::Sender<Up>) {
+    pub fn send_hello(&mut self, out: mpsc::Sender<Up>) {
         let hello = Up::Hello {
             version: wire::VERSION,
             instance: format!("fake-{:04}", self.index),
