--- a/components/replay/src/plot.rs
+++ b/components/replay/src/plot.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use anyhow::{Result, anyhow};
+use anyhow::{Context, Result};
 use plotters::prelude::*;
 
 use crate::Report;
@@ -14,10 +14,10 @@
 /// # Errors
 /// Fails if the file cannot be written.
 pub fn plot(report: &Report, path: &Path) -> Result<()> {
-    draw(report, path).map_err(|error| anyhow!("draw {}: {error}", path.display()))
+    draw(report, path).with_context(|| format!("draw {}", path.display()))
 }
 
-fn draw(report: &Report, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+fn draw(report: &Report, path: &Path) -> Result<()> {
     let seconds = |us: u64| us as f64 / 1e6;
     let ms = |us: u64| us as f64 / 1e3;
     let end = report
