Pace the follow commands of a new leader

Cause: a new leader pointed every replica at its primary at once. With 15,600 targets the 10,400 connections kept its loop from sending heartbeats, so that it was lost, and the next one did the same.

--- a/components/control/src/act.rs
+++ b/components/control/src/act.rs
@@ -12,6 +12,12 @@
 use crate::process::{Loop, Waiter};
 use crate::target::Target;
 
+/// Reason of a failed follow command in the counter `retries`.
+pub const FOLLOW: &str = "follow";
+/// Follow commands under way. A new leader points every replica at its primary; all at once, the
+/// connections kept the loop from sending heartbeats, and the leader was lost at 15,600 targets.
+const MAX_FOLLOWS: usize = 32;
+
 impl Loop {
     pub(crate) fn act(&mut self, now: Instant, actions: Vec<(Name, Action)>) -> Result<()> {
         for (database, action) in actions {
@@ -55,6 +61,9 @@
                         })
                     });
                 }
+                Action::Follow { .. } if self.follows >= MAX_FOLLOWS => {
+                    self.metrics.common.retries.add("follow_later");
+                }
                 Action::Follow { target, primary } => {
                     let Some(address) = self.address(&database, &target) else {
                         continue;
@@ -62,7 +71,8 @@
                     let Some(source) = self.address(&database, &primary) else {
                         continue;
                     };
-                    start(&self.events, "follow", async move {
+                    self.follows += 1;
+                    start(&self.events, FOLLOW, async move {
                         address.follow(source.address).await?;
                         Ok(Event::Following {
                             database,
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -23,7 +23,7 @@
     "unknown_identity",
 ];
 /// Reasons of the counter `retries`.
-const RETRIES: [&str; 4] = ["position", "promote", "follow", "proposal"];
+const RETRIES: [&str; 5] = ["position", "promote", "follow", "follow_later", "proposal"];
 
 /// Metrics of a control process.
 #[derive(Debug)]
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -14,6 +14,7 @@
 use tokio::task::spawn_local;
 use types::Name;
 
+use crate::act::FOLLOW;
 use crate::entries::Streams;
 use crate::event::{Event, StreamId};
 use crate::lead::Lead;
@@ -70,6 +71,8 @@
     /// Something happened that changes of primary under way may wait for. They are stepped once at
     /// the end of the turn: one step a renewal cost the square of the number of entries.
     pub(crate) step_due: bool,
+    /// Follow commands under way.
+    pub(crate) follows: usize,
 }
 
 /// Runs a control process until SIGTERM or SIGINT.
@@ -193,6 +196,7 @@
             hello_at: now,
             stop_at: None,
             step_due: false,
+            follows: 0,
         };
         state.keep_peers(now);
         Ok(state)
@@ -290,12 +294,16 @@
                 target,
                 primary,
             } => {
+                self.follows -= 1;
                 if let Some(machine) = self.lead.as_mut().and_then(|lead| lead.machine(&database)) {
                     machine.on_following(&target, &primary, &self.catalog);
                 }
             }
             Event::PeerEnded => {}
-            Event::CommandFailed(reason) => self.metrics.common.retries.add(reason),
+            Event::CommandFailed(reason) => {
+                self.follows -= usize::from(reason == FOLLOW);
+                self.metrics.common.retries.add(reason);
+            }
             Event::Http(request) => self.on_request(now, request)?,
             Event::Stop => self.stop_at = Some(now + self.settings.stop_timeout),
         }
