--- a/components/control/src/convert.rs
+++ b/components/cluster/src/convert.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use anyhow::{Context, Error, Result};
+use anyhow::{Context, Error, Result, ensure};
 use consensus::{Body, Disk, Entry, Epoch, Identity, Member, Payload, Peer, Position, Seat};
 use types::Name;
 
@@ -13,6 +13,10 @@
     Peer(Peer),
     /// The sender introduces itself.
     Hello(Hello),
+    /// The sender introduces itself and the instances that it knows.
+    Introduction(Introduction),
+    /// What the entries of the sender report.
+    Report(Report),
 }
 
 /// A control instance introduces itself.
@@ -30,6 +34,76 @@
     pub http: SocketAddr,
 }
 
+/// An instance that finds the others through seeds introduces itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Introduction {
+    /// Instance and disk.
+    pub identity: Identity,
+    /// Version of the message format.
+    pub version: u32,
+    /// Link address.
+    pub address: SocketAddr,
+    /// Address of its administration API.
+    pub http: SocketAddr,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Its disk holds no log yet, or only the first member list.
+    pub blank: bool,
+    /// The whole system starts for the first time.
+    pub founding: bool,
+    /// Link addresses of the instances that it knows.
+    pub known: Vec<SocketAddr>,
+}
+
+/// What the entries of one instance report to the leader.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// The instance.
+    pub instance: Name,
+    /// Entries that are subscribed there.
+    pub entries: u32,
+    /// Primaries that some of them can't use.
+    pub complaints: Vec<wire::Complaint>,
+}
+
+/// Instances that one introduction may name.
+const MAX_KNOWN: usize = 64;
+/// Complaints that one report may hold.
+const MAX_COMPLAINTS: usize = 10_000;
+
+/// The introduction of an instance.
+#[must_use]
+pub fn introduction(intro: &Introduction) -> wire::Peer {
+    wire::Peer {
+        from: intro.identity.instance.to_string(),
+        disk: intro.identity.disk.0,
+        epoch: 0,
+        body: wire::Body::Introduce {
+            version: intro.version,
+            address: intro.address.to_string(),
+            http: intro.http.to_string(),
+            domain: intro.domain.to_string(),
+            blank: intro.blank,
+            founding: intro.founding,
+            known: intro.known.iter().map(SocketAddr::to_string).collect(),
+        },
+    }
+}
+
+/// A report for the leader.
+#[must_use]
+pub fn report(from: &Identity, entries: u32, complaints: Vec<wire::Complaint>) -> wire::Peer {
+    wire::Peer {
+        from: from.instance.to_string(),
+        disk: from.disk.0,
+        epoch: 0,
+        body: wire::Body::Report {
+            entries,
+            complaints,
+        },
+    }
+}
+
 /// A message of this instance.
 #[must_use]
 pub fn peer(peer: Peer) -> wire::Peer {
@@ -159,11 +233,47 @@
                 http: http.parse().context("HTTP address of an introduction")?,
             }));
         }
-        Ok(Self::Peer(Peer {
-            from,
-            epoch,
-            body: checked_body(raw.body)?,
-        }))
+        match raw.body {
+            wire::Body::Introduce {
+                version,
+                address,
+                http,
+                domain,
+                blank,
+                founding,
+                known,
+            } => {
+                ensure!(known.len() <= MAX_KNOWN, "{} known instances", known.len());
+                let known = known.iter().map(|address| address.parse());
+                Ok(Self::Introduction(Introduction {
+                    identity: from,
+                    version,
+                    address: address.parse().context("address of an introduction")?,
+                    http: http.parse().context("HTTP address of an introduction")?,
+                    domain: Name::try_from(domain).context("domain")?,
+                    blank,
+                    founding,
+                    known: known.collect::<Result<_, _>>().context("known address")?,
+                }))
+            }
+            wire::Body::Report {
+                entries,
+                complaints,
+            } => {
+                let count = complaints.len();
+                ensure!(count <= MAX_COMPLAINTS, "{count} complaints");
+                Ok(Self::Report(Report {
+                    instance: from.instance,
+                    entries,
+                    complaints,
+                }))
+            }
+            body => Ok(Self::Peer(Peer {
+                from,
+                epoch,
+                body: checked_body(body)?,
+            })),
+        }
     }
 }
 
@@ -229,7 +339,9 @@
             done,
         },
         wire::Body::SnapshotReply { offset } => Body::SnapshotReply { offset },
-        wire::Body::Hello { .. } => anyhow::bail!("an introduction is no message of the log"),
+        wire::Body::Hello { .. } | wire::Body::Introduce { .. } | wire::Body::Report { .. } => {
+            anyhow::bail!("no message of the log")
+        }
     })
 }
 
--- a/components/control/src/event.rs
+++ b/components/control/src/event.rs
@@ -1,12 +1,11 @@
 //! Events of the control loop.
 
+use cluster::store::Done;
 use disk::{Native, Wal};
 use failover::Position;
 use tokio::sync::mpsc;
 use types::{Lsn, Name, Revision, Term};
 
-use crate::store::Done;
-
 /// Identity of a stream from an entry, never used twice.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct StreamId(pub u64);
--- a/components/control/src/join.rs
+++ b/components/control/src/join.rs
@@ -108,6 +108,10 @@
                     self.found(now)?;
                 }
             }
+            // Instances of this process find each other by their settings.
+            Ok(Incoming::Introduction(_) | Incoming::Report(_)) => {
+                self.metrics.common.refusals.add("invalid");
+            }
             Ok(Incoming::Peer(peer)) => {
                 let mut actions = Vec::new();
                 self.node.on_message(now, peer, &mut actions);
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -3,7 +3,6 @@
 
 mod act;
 pub mod api;
-pub mod convert;
 mod entries;
 mod event;
 mod join;
@@ -15,7 +14,7 @@
 mod process;
 mod renewal;
 mod serve;
-mod store;
 pub mod target;
 
+pub use cluster::convert;
 pub use process::run;
--- a/components/control/src/log.rs
+++ b/components/control/src/log.rs
@@ -4,13 +4,14 @@
 
 use anyhow::{Context, Result};
 use catalog::{Catalog, Command};
+use cluster::store;
 use consensus::{Action, Entry, Epoch, Identity, Payload, Position, Role};
 use disk::{Native, Wal};
 use types::{Name, Revision};
 
+use crate::convert;
 use crate::lead::Lead;
 use crate::process::{Loop, Waiter};
-use crate::{convert, store};
 
 /// Applied entries after which a snapshot is taken.
 const SNAPSHOT_EVERY: u64 = 1000;
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -5,6 +5,7 @@
 
 use anyhow::{Context, Result, ensure};
 use catalog::Catalog;
+use cluster::store;
 use consensus::{Epoch, Identity, Node};
 use disk::{Native, Wal};
 use rand::SeedableRng;
@@ -15,13 +16,13 @@
 use types::Name;
 
 use crate::act::FOLLOW;
+use crate::api;
 use crate::entries::Streams;
 use crate::event::{Event, StreamId};
 use crate::lead::Lead;
 use crate::members::Introductions;
 use crate::metrics::Set;
 use crate::peers::Peers;
-use crate::{api, store};
 
 /// Events that wait for the loop; senders wait beyond that.
 const EVENTS: usize = 4096;
--- /dev/null
+++ b/components/coordinator/src/lead.rs
@@ -0,0 +1,273 @@
+//! What only the leader holds, in memory: signs of life of servers, what entries report of
+//! primaries, and the changes of primary. All of it begins anew with each leader.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use cluster::convert::Report;
+use registry::change::{Action, Signals, Verdict};
+use registry::{Machine, Registry};
+use tokio::task::JoinHandle;
+use types::Name;
+
+use crate::event::Ping;
+
+/// Interval of the steps of all services.
+const STEP: Duration = Duration::from_millis(100);
+/// How long a report of another instance counts; several are sent in this time.
+const REPORT: Duration = Duration::from_millis(1500);
+/// Silence of a primary towards this instance that counts, if entries miss it as well.
+const SILENCE: Duration = Duration::from_millis(900);
+/// Silence of a primary towards this instance that counts by itself.
+const LONG_SILENCE: Duration = Duration::from_secs(3);
+/// How long the entries' majority has to miss a primary that answers this instance.
+const MISSED: Duration = Duration::from_millis(500);
+/// Silence after which a server is removed from the registry.
+pub const GONE: Duration = Duration::from_secs(20);
+
+/// A primary under watch.
+#[derive(Debug)]
+struct Watch {
+    id: String,
+    task: JoinHandle<()>,
+    /// Last answer, at first the start of the watch.
+    answered_at: Instant,
+    /// It answered that it does not lead.
+    follows: bool,
+    term: Option<u64>,
+    /// Since when most entries miss it.
+    missed_since: Option<Instant>,
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// State of a leader.
+#[derive(Debug)]
+pub struct Lead {
+    since: Instant,
+    /// Last heartbeat of each server.
+    heard: BTreeMap<String, Instant>,
+    reports: BTreeMap<Name, (Instant, Report)>,
+    watches: BTreeMap<String, Watch>,
+    machines: BTreeMap<String, Machine>,
+    /// When each change under way began.
+    begun: BTreeMap<String, Instant>,
+    step_at: Instant,
+}
+
+impl Lead {
+    /// State of a new leader.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            heard: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            watches: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            begun: BTreeMap::new(),
+            step_at: now,
+        }
+    }
+
+    /// When a step is due.
+    #[must_use]
+    pub fn deadline(&self) -> Instant {
+        self.step_at
+    }
+
+    /// Has all services stepped at the end of the turn.
+    pub fn step_soon(&mut self, now: Instant) {
+        self.step_at = now;
+    }
+
+    /// A server sent a heartbeat.
+    pub fn on_heartbeat(&mut self, now: Instant, id: &str) {
+        match self.heard.get_mut(id) {
+            Some(at) => *at = now,
+            None => {
+                self.heard.insert(id.to_owned(), now);
+            }
+        }
+    }
+
+    /// Time since a server's last heartbeat, at most the time of this leadership.
+    #[must_use]
+    pub fn silence(&self, now: Instant, id: &str) -> Duration {
+        let heard = self.heard.get(id).copied().unwrap_or(self.since);
+        now.saturating_duration_since(heard)
+    }
+
+    /// Another instance, or this one, tells what its entries report.
+    pub fn on_report(&mut self, now: Instant, report: Report) {
+        self.reports.insert(report.instance.clone(), (now, report));
+        self.reports.retain(|_, (at, _)| now < *at + REPORT);
+    }
+
+    /// Entries that miss a primary, and all entries.
+    fn missing(&self, now: Instant, service: &str, id: &str) -> (u32, u32) {
+        let reports = self.reports.values().filter(|(at, _)| now < *at + REPORT);
+        let (mut missing, mut all) = (0, 0);
+        for (_, report) in reports {
+            all += report.entries;
+            let complaints = report.complaints.iter();
+            let of = complaints.filter(|it| it.service == service && it.id == id);
+            missing += of.map(|it| it.entries).sum::<u32>();
+        }
+        (missing, all)
+    }
+
+    /// A watched primary was asked.
+    pub fn on_ping(&mut self, now: Instant, service: &str, id: &str, ping: Ping) {
+        let Some(watch) = self.watches.get_mut(service).filter(|it| it.id == id) else {
+            return;
+        };
+        match ping {
+            Ping::Leads(term) => {
+                watch.answered_at = now;
+                watch.follows = false;
+                watch.term = Some(term);
+            }
+            Ping::Follows => {
+                watch.answered_at = now;
+                watch.follows = true;
+            }
+            Ping::Silent => {}
+        }
+    }
+
+    /// The machine of a service.
+    pub fn machine(&mut self, service: &str) -> Option<&mut Machine> {
+        self.machines.get_mut(service)
+    }
+
+    /// Steps all services if that is due. `watch` starts the watch of a server.
+    pub fn on_tick(
+        &mut self,
+        now: Instant,
+        registry: &Registry,
+        watch: impl Fn(&registry::Server) -> JoinHandle<()>,
+        out: &mut Vec<(String, Action)>,
+    ) {
+        if now < self.step_at {
+            return;
+        }
+        self.step_at = now + STEP;
+        let mut services: Vec<&str> = registry.servers().map(|s| s.service.as_str()).collect();
+        services.sort_unstable();
+        services.dedup();
+        for service in services {
+            self.follow(now, service, registry, &watch);
+            self.step(now, service, registry, out);
+        }
+    }
+
+    /// Watches the present primary of a service.
+    fn follow(
+        &mut self,
+        now: Instant,
+        service: &str,
+        registry: &Registry,
+        start: impl Fn(&registry::Server) -> JoinHandle<()>,
+    ) {
+        let Some(primary) = registry.primary(service) else {
+            self.watches.remove(service);
+            return;
+        };
+        let known = self.watches.get(service);
+        if known.is_some_and(|watch| watch.id == primary.id) {
+            return;
+        }
+        let term = known.and_then(|watch| watch.term);
+        let watch = Watch {
+            id: primary.id.clone(),
+            task: start(primary),
+            answered_at: now,
+            follows: false,
+            term,
+            missed_since: None,
+        };
+        self.watches.insert(service.to_owned(), watch);
+    }
+
+    fn step(
+        &mut self,
+        now: Instant,
+        service: &str,
+        registry: &Registry,
+        out: &mut Vec<(String, Action)>,
+    ) {
+        let verdict = self.verdict(now, service);
+        let term = self.watches.get(service).and_then(|watch| watch.term);
+        let signals = Signals { verdict, term };
+        let (heard, since) = (&self.heard, self.since);
+        let silence = |id: &str| {
+            let heard = heard.get(id).copied().unwrap_or(since);
+            now.saturating_duration_since(heard)
+        };
+        let machine = self
+            .machines
+            .entry(service.to_owned())
+            .or_insert_with(|| Machine::new(service));
+        let before = machine.phase();
+        let mut actions = Vec::new();
+        machine.step(now, registry, signals, silence, &mut actions);
+        if machine.phase() != before {
+            let primary = registry.primary(service);
+            tracing::info!(
+                service,
+                from = before,
+                to = machine.phase(),
+                ?verdict,
+                primary = primary.map(|server| server.id.as_str()),
+                draining = primary.is_some_and(|server| server.draining),
+                "change of primary"
+            );
+        }
+        if machine.is_active() {
+            self.begun.entry(service.to_owned()).or_insert(now);
+        }
+        out.extend(actions.into_iter().map(|it| (service.to_owned(), it)));
+    }
+
+    /// A change has ended; returns how long it took.
+    pub fn on_confirmed(&mut self, now: Instant, service: &str) -> Option<Duration> {
+        let begun = self.begun.remove(service)?;
+        Some(now.saturating_duration_since(begun))
+    }
+
+    /// Whether a primary can be used. An instance that alone has lost it says nothing: what
+    /// counts is whether entries reach it, and whether it still leads.
+    fn verdict(&mut self, now: Instant, service: &str) -> Verdict {
+        let Some(id) = self.watches.get(service).map(|watch| watch.id.clone()) else {
+            return Verdict::Unknown;
+        };
+        let (missing, entries) = self.missing(now, service, &id);
+        let heard = self.silence(now, &id);
+        let Some(watch) = self.watches.get_mut(service) else {
+            return Verdict::Unknown;
+        };
+        if missing > 0 && missing * 2 >= entries {
+            watch.missed_since.get_or_insert(now);
+        } else {
+            watch.missed_since = None;
+        }
+        let silent = now.saturating_duration_since(watch.answered_at);
+        let missed = watch
+            .missed_since
+            .is_some_and(|since| now >= since + MISSED);
+        let unreachable = silent > SILENCE && missing > 0;
+        let gone = silent > LONG_SILENCE && heard > LONG_SILENCE;
+        if watch.follows || missed || unreachable || gone {
+            Verdict::Failed
+        } else if silent > SILENCE {
+            Verdict::Unknown
+        } else {
+            Verdict::Serving
+        }
+    }
+}
--- /dev/null
+++ b/components/coordinator/src/metrics.rs
@@ -0,0 +1,66 @@
+//! Metrics of a coordinator.
+
+use observe::metrics::{Metrics, PHASE_SECONDS};
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+
+/// Reasons of the counter `refusals`.
+const REFUSALS: [&str; 6] = [
+    "invalid",
+    "not_leader",
+    "no_quorum",
+    "no_plan",
+    "lost_leadership",
+    "version",
+];
+
+/// The set.
+#[derive(Debug)]
+pub struct Set {
+    /// Registry, refusals and retries.
+    pub common: Metrics,
+    /// 1 on the leader.
+    pub leader: Gauge,
+    /// Index of the last applied order.
+    pub revision: Gauge,
+    /// Version of the plan in force.
+    pub version: Gauge,
+    /// Entries that are subscribed here.
+    pub entries: Gauge,
+    /// Time of a whole change of primary.
+    pub change_seconds: Histogram,
+    /// Time from the proposal of an order to its commit.
+    pub commit_seconds: Histogram,
+}
+
+impl Set {
+    /// All at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut common = Metrics::new();
+        common.refusals.declare(&REFUSALS);
+        let leader = common.gauge("leader", "1 while this instance leads");
+        let revision = common.gauge("revision", "Index of the last applied order");
+        let version = common.gauge("plan_version", "Version of the plan in force");
+        let entries = common.gauge("entries", "Entries subscribed to this instance");
+        let change_seconds = common.histogram(
+            "primary_change_seconds",
+            "Time of a change of primary, from its begin to its confirmation",
+            &PHASE_SECONDS,
+        );
+        let commit_seconds = common.histogram(
+            "commit_seconds",
+            "Time from the proposal of an order to its commit",
+            &PHASE_SECONDS,
+        );
+        Self {
+            common,
+            leader,
+            revision,
+            version,
+            entries,
+            change_seconds,
+            commit_seconds,
+        }
+    }
+}
--- a/components/entry/src/accept.rs
+++ b/components/entry/src/accept.rs
@@ -16,7 +16,9 @@
 use crate::local::Parameters as _;
 use crate::process::Loop;
 use crate::startup::{self, Outcome, Started};
-use crate::{connect, io};
+use link::io;
+
+use crate::connect;
 
 /// Verifier requests of one connection that wait for the loop; each asks once.
 const LOGINS: usize = 1;
--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -12,7 +12,9 @@
 use crate::event::{ConnKey, Event};
 use crate::process::Loop;
 use crate::server::Purpose;
-use crate::{connect, io};
+use link::io;
+
+use crate::connect;
 
 /// Largest frame taken from a target.
 const MAX_FRAME: usize = 256 << 20;
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -11,8 +11,8 @@
 
 use crate::batch::{Batch, End};
 use crate::event::ConnKey;
-use crate::io;
 use crate::local::{Parameters, Refusal};
+use link::io;
 
 /// Longest value of a kept parameter.
 const MAX_VALUE: usize = 256;
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -5,7 +5,9 @@
 use tokio::sync::mpsc;
 use wire::{Down, Up};
 
-use crate::{connect, io, startup};
+use link::io;
+
+use crate::{connect, startup};
 
 new_key_type! {
     /// Identity of a caller's connection, never used twice.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -12,7 +12,6 @@
 mod dispatch;
 mod event;
 mod follow;
-mod io;
 mod local;
 mod lost;
 mod metrics;
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -21,12 +21,12 @@
 use crate::control::Control;
 use crate::database::Database;
 use crate::event::{CallerKey, ConnKey, Event};
-use crate::io;
 use crate::metrics::Set;
 use crate::server::{Conn, Server};
 use crate::startup::Verifier;
 use crate::stop::Stop;
 use crate::timer::Timers;
+use link::io;
 
 /// Events that wait for the loop; senders wait beyond that.
 const EVENTS: usize = 4096;
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -14,7 +14,7 @@
 
 use crate::caller::Wait;
 use crate::event::{CallerKey, ConnKey};
-use crate::io;
+use link::io;
 
 /// Interval of position queries when no write or read waits for an answer.
 pub const WATCH_INTERVAL: Duration = Duration::from_millis(100);
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -2,6 +2,8 @@
 //! four-byte length and an encoded message.
 
 mod frame;
+pub mod io;
+pub mod socket;
 mod stream;
 
 pub use stream::{Event, Stream, dial, listen};
--- a/components/link/src/stream.rs
+++ b/components/link/src/stream.rs
@@ -15,10 +15,12 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::frame;
+use crate::{frame, socket};
 
 /// Time for the connection and the HTTP/2 handshake of a new stream.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a peer that acknowledges no bytes and no keep-alive probe counts as gone.
+const SILENCE: Duration = Duration::from_secs(2);
 /// Receive window of a stream; holds the largest message, so that a sender is not stopped within it.
 const WINDOW: u32 = 16 << 20;
 /// Streams a peer may open on one connection; own processes open one.
@@ -53,7 +55,7 @@
 
 async fn open(address: SocketAddr, path: &str) -> Result<Stream> {
     let socket = TcpStream::connect(address).await.context("connect")?;
-    socket.set_nodelay(true).context("set no delay")?;
+    socket::detect_silence(&socket, SILENCE).context("set options")?;
     let (requests, connection) = h2::client::Builder::new()
         .initial_window_size(WINDOW)
         .initial_connection_window_size(WINDOW)
@@ -98,7 +100,7 @@
 }
 
 async fn serve(socket: TcpStream, first: u64, accept: impl Fn(&str, u64, Stream)) -> Result<()> {
-    socket.set_nodelay(true)?;
+    socket::detect_silence(&socket, SILENCE)?;
     let mut builder = h2::server::Builder::new();
     builder
         .initial_window_size(WINDOW)
--- a/components/observe/src/lib.rs
+++ b/components/observe/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod log;
 pub mod metrics;
 pub mod process;
+pub mod reload;
 pub mod stop;
 pub mod token;
--- /dev/null
+++ b/components/proxy/src/answer.rs
@@ -0,0 +1,347 @@
+//! Answers of servers.
+
+use std::time::{Duration, Instant};
+
+use registry::plan::Format;
+use types::Point;
+
+use crate::clock::{Clock, Moment};
+use crate::event::{ConnKey, SessionKey};
+use crate::freshness::Sample;
+use crate::process::Loop;
+use crate::protocol::{Answer, Code, Protocol, State};
+use crate::refuse::Reason;
+use crate::server::{Ended, Expect};
+use crate::session::{Kind, Work};
+
+/// Pause before a statement is tried again at a primary that does not lead yet, or no more.
+const NOT_LEADING: Duration = Duration::from_millis(60);
+/// First pause before a statement is tried again at a server without capacity.
+const BUSY: Duration = Duration::from_millis(10);
+/// Times that a statement is tried.
+const MAX_TRIES: usize = 8;
+/// Bytes of one answer that are held back until it is complete.
+const MAX_ANSWER: usize = 8 << 20;
+
+impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
+    /// Takes one message of a server. False once the connection is gone.
+    pub(crate) fn on_answer(
+        &mut self,
+        now: Instant,
+        key: ConnKey,
+        raw: &[u8],
+        answer: Answer<'_>,
+    ) -> bool {
+        let Some(conn) = self.conns.get_mut(key) else {
+            return false;
+        };
+        let is_statement = matches!(conn.expected.front(), Some(Expect::Statement { .. }));
+        match answer {
+            Answer::Row | Answer::Done | Answer::Error { .. } if conn.expected.is_empty() => {
+                self.on_conn_lost(now, key, "unexpected_answer");
+                return false;
+            }
+            Answer::Row => {
+                if is_statement {
+                    conn.answer.extend_from_slice(raw);
+                }
+                if conn.answer.len() > MAX_ANSWER {
+                    self.on_conn_lost(now, key, "answer_too_large");
+                    return false;
+                }
+            }
+            Answer::Done => {
+                if is_statement {
+                    conn.answer.extend_from_slice(raw);
+                }
+                conn.ended = Some(Ended::Done);
+            }
+            Answer::Error { code, text } => {
+                if conn.expected.front() == Some(&Expect::Startup) {
+                    let server = &mut self.servers[conn.server];
+                    tracing::info!(
+                        id = server.id,
+                        code = code.label(),
+                        text,
+                        "connection refused"
+                    );
+                    if code == Code::ConnectionLimit {
+                        server.on_full(now);
+                    }
+                    self.on_conn_lost(now, key, code.label());
+                    return false;
+                }
+                if is_statement {
+                    conn.answer.extend_from_slice(raw);
+                }
+                conn.ended = Some(Ended::Error(code));
+            }
+            Answer::Ready { state, point } => return self.on_ready(now, key, state, point),
+        }
+        true
+    }
+
+    /// An answer is complete.
+    fn on_ready(&mut self, now: Instant, key: ConnKey, state: State, point: Option<Point>) -> bool {
+        let Some(conn) = self.conns.get_mut(key) else {
+            return false;
+        };
+        let ended = conn.ended.take();
+        let Some(expect) = conn.expected.pop_front() else {
+            self.on_conn_lost(now, key, "unexpected_answer");
+            return false;
+        };
+        self.servers[conn.server].on_answer(now, point);
+        let error = match ended {
+            Some(Ended::Error(code)) => Some(code),
+            Some(Ended::Done) => None,
+            None if expect == Expect::Startup => None,
+            // Neither an end nor an error before the last message.
+            None => Some(Code::Other),
+        };
+        match (expect, error) {
+            (Expect::Startup, _) => {
+                let server = &mut self.servers[conn.server];
+                server.opening = server.opening.saturating_sub(1);
+                self.release(now, key, false);
+            }
+            (Expect::Setup, None) => {}
+            (Expect::Setup, Some(code)) => {
+                self.on_conn_lost(now, key, code.label());
+                return self.conns.contains_key(key);
+            }
+            (Expect::Rollback, _) => self.release(now, key, state != State::Idle),
+            (Expect::Begin { at, writing }, None) => {
+                if writing {
+                    self.on_leading(key, at, point);
+                }
+                self.on_begun(now, key);
+            }
+            (Expect::Begin { .. }, Some(code)) => {
+                self.on_not_begun(now, key, code, state);
+            }
+            (Expect::Statement { at }, error) => {
+                self.on_statement(now, key, at, error, state, point);
+            }
+        }
+        self.conns.contains_key(key)
+    }
+
+    /// A server has proved that it led after `at`.
+    fn on_leading(&mut self, key: ConnKey, at: Moment, point: Option<Point>) {
+        let Some(conn) = self.conns.get(key) else {
+            return;
+        };
+        let service = &mut self.services[self.servers[conn.server].service];
+        if service.primary == Some(conn.server) {
+            service.missed_since = None;
+        }
+        if let Some(point) = point {
+            service.track.observe(Sample { point, at });
+        }
+    }
+
+    fn on_begun(&mut self, now: Instant, key: ConnKey) {
+        let Some(session_key) = self.conns.get(key).and_then(|conn| conn.session) else {
+            // The caller is gone meanwhile.
+            return self.release(now, key, true);
+        };
+        let session = self.sessions.get_mut(session_key);
+        if let Some(open) = session.and_then(|session| session.transaction.as_mut()) {
+            open.conn = Some(key);
+        }
+        self.send_statement(now, session_key, key);
+    }
+
+    fn on_not_begun(&mut self, now: Instant, key: ConnKey, code: Code, state: State) {
+        let Some(conn) = self.conns.get(key) else {
+            return;
+        };
+        let (session, server) = (conn.session, conn.server);
+        self.release(now, key, state != State::Idle);
+        if let Some(session) = session {
+            self.try_again(now, session, server, code);
+        }
+    }
+
+    /// Tries a statement again that a server has not run, or refuses it.
+    fn try_again(&mut self, now: Instant, key: SessionKey, server: usize, code: Code) {
+        let pause = self.on_not_run(now, server, code);
+        let Some(work) = self.sessions.get_mut(key).and_then(|s| s.work.as_mut()) else {
+            return;
+        };
+        work.retried = Some(code);
+        let tries = work.tried.len();
+        if code == Code::Busy || code == Code::ReadOnly {
+            // Several tries at one server are counted too.
+            work.tried.push(server);
+        }
+        self.metrics.common.retries.add(code.label());
+        if now >= work.hold_until || tries >= MAX_TRIES * 2 {
+            let reason = if code == Code::ReadOnly {
+                Reason::NoPrimary
+            } else {
+                Reason::Exhausted
+            };
+            return self.refuse_waiting(now, key, reason);
+        }
+        self.retry(now, key, pause);
+    }
+
+    /// Takes note of why a server has not run a statement. Returns a pause before it may be asked
+    /// again; another server may be asked at once.
+    fn on_not_run(&mut self, now: Instant, index: usize, code: Code) -> Duration {
+        let server = &mut self.servers[index];
+        match code {
+            Code::Behind => {
+                server.on_behind(now);
+                Duration::ZERO
+            }
+            Code::ReadOnly => {
+                let service = &mut self.services[server.service];
+                if service.primary == Some(index) {
+                    service.missed_since.get_or_insert(now);
+                }
+                NOT_LEADING
+            }
+            Code::Busy => BUSY,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// The statement of a session is answered.
+    fn on_statement(
+        &mut self,
+        now: Instant,
+        key: ConnKey,
+        at: Moment,
+        error: Option<Code>,
+        state: State,
+        point: Option<Point>,
+    ) {
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
+        let answer = conn.answer.split();
+        let (index, wrapped) = (conn.server, conn.wrapped);
+        let Some(session_key) = conn.session else {
+            return self.release(now, key, state != State::Idle);
+        };
+        let took = now.saturating_duration_since(conn.since);
+        self.servers[index].on_served(took);
+        let Some(session) = self.sessions.get_mut(session_key) else {
+            return self.release(now, key, state != State::Idle);
+        };
+        let Some(work) = session.work.take() else {
+            return self.release(now, key, state != State::Idle);
+        };
+        if let Some(code) = error
+            && self.is_tried_again(&work, session_key, code)
+        {
+            if let Some(session) = self.sessions.get_mut(session_key) {
+                session.work = Some(work);
+                if let Some(open) = &mut session.transaction {
+                    open.conn = None;
+                }
+            }
+            if code == Code::NotPrepared
+                && let Some(conn) = self.conns.get_mut(key)
+            {
+                conn.prepared.clear();
+            }
+            self.release(now, key, state != State::Idle);
+            return self.try_again(now, session_key, index, code);
+        }
+        let in_transaction = self
+            .sessions
+            .get(session_key)
+            .is_some_and(|session| session.transaction.is_some());
+        let changed = work.kind.may_change();
+        let proves =
+            error.is_none() && (changed || (in_transaction && !self.reads_only(session_key)));
+        if proves {
+            self.on_leading(key, at, point);
+        }
+        let Some(session) = self.sessions.get_mut(session_key) else {
+            return;
+        };
+        if error.is_none() && changed {
+            session.point = point.or(session.point);
+        }
+        let done = work.kind == Kind::Commit;
+        let mut kept = false;
+        if done {
+            session.transaction = None;
+        } else if let Some(open) = &mut session.transaction {
+            open.used |= error.is_none();
+            // A server that has ended the transaction by itself leaves nothing but the report.
+            open.failed = state != State::Open;
+            kept = state != State::Idle;
+            if !kept {
+                open.conn = None;
+            }
+        }
+        session.out.extend_from_slice(&answer);
+        let reported = session.state();
+        P::ready(&mut session.out, reported, point);
+        self.dirty_sessions.push(session_key);
+        self.ready.push(session_key);
+        if kept {
+            if let Some(conn) = self.conns.get_mut(key) {
+                conn.since = now;
+            }
+            self.rest(session_key);
+        } else {
+            self.release(now, key, wrapped || state != State::Idle);
+        }
+        self.count(now, &work, index, error);
+    }
+
+    fn reads_only(&self, key: SessionKey) -> bool {
+        let open = self.sessions.get(key).and_then(|s| s.transaction.as_ref());
+        open.is_some_and(|open| open.read_only)
+    }
+
+    /// Whether a statement with an error is tried again: nothing of it, or of its transaction, has
+    /// run; or it only reads, and may run twice.
+    fn is_tried_again(&mut self, work: &Work, key: SessionKey, code: Code) -> bool {
+        let open = self.sessions.get(key).and_then(|s| s.transaction.as_ref());
+        if let Some(open) = open {
+            return !open.used && work.kind != Kind::Commit && code.is_not_run();
+        }
+        if code.is_not_run() {
+            return true;
+        }
+        let again = matches!(code, Code::Failed | Code::Timeout | Code::Other);
+        again && !work.kind.may_change() && work.retried.is_none() && self.budget_allows()
+    }
+
+    pub(crate) fn budget_allows(&mut self) -> bool {
+        self.budget.spend(crate::process::now())
+    }
+
+    fn count(&mut self, now: Instant, work: &Work, index: usize, error: Option<Code>) {
+        let took = now.saturating_duration_since(work.arrived);
+        self.metrics.statement_seconds.observe(took.as_secs_f64());
+        let outcome = match error {
+            None => {
+                self.metrics.served.add(work.kind.label());
+                if !work.kind.may_change() {
+                    let primary = self.services[work.route.service].primary;
+                    let place = if primary == Some(index) {
+                        "primary"
+                    } else {
+                        "replica"
+                    };
+                    self.metrics.reads.add(place);
+                }
+                "served"
+            }
+            Some(code) => {
+                self.metrics.errors.add(code.label());
+                code.label()
+            }
+        };
+        self.log_outcome(now, work, outcome, Some(index));
+    }
+}
--- /dev/null
+++ b/components/proxy/src/event.rs
@@ -0,0 +1,42 @@
+//! Events of the proxy's loop.
+
+use link::io;
+use slotmap::new_key_type;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+new_key_type! {
+    /// A caller's session.
+    pub struct SessionKey;
+    /// A connection to a server.
+    pub struct ConnKey;
+}
+
+/// Something that happened outside the loop.
+#[derive(Debug)]
+pub enum Event {
+    /// A caller connected.
+    Accepted(TcpStream),
+    /// Bytes of a caller, or the end of its connection.
+    Session(SessionKey, io::Event),
+    /// A connection to a server was opened, or could not be.
+    Opened(ConnKey, std::io::Result<TcpStream>),
+    /// Bytes of a server, or the end of its connection.
+    Conn(ConnKey, io::Event),
+    /// A stream to a coordinator was opened, or could not be. The number is that of the dial.
+    Dialed(u64, Option<mpsc::Sender<wire::Subscribe>>),
+    /// A message of a coordinator, or the end of its stream.
+    Coordinator(u64, link::Event<wire::Publish>),
+    /// A request on the HTTP endpoint.
+    Http(observe::http::Request),
+    /// The settings file has changed.
+    Reload,
+    /// SIGTERM or SIGINT.
+    Stop,
+}
+
+impl From<observe::http::Request> for Event {
+    fn from(request: observe::http::Request) -> Self {
+        Self::Http(request)
+    }
+}
--- /dev/null
+++ b/components/proxy/src/server.rs
@@ -0,0 +1,289 @@
+//! Servers and services as this entry sees them.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use ahash::HashSet;
+use bytes::BytesMut;
+use link::io;
+use registry::Life;
+use types::Point;
+
+use crate::choose::Candidate;
+use crate::clock::Moment;
+use crate::event::{ConnKey, SessionKey};
+use crate::freshness::Track;
+use crate::protocol::Code;
+
+/// Latency that is assumed of a server before its first answer.
+const FIRST_LATENCY: Duration = Duration::from_millis(20);
+/// Weight of the latest answer in the smoothed latency.
+const SMOOTHING: f64 = 0.2;
+/// First pause after a failure; doubled by each further one.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after failures.
+const MAX_PAUSE: Duration = Duration::from_millis(1600);
+/// How long a replica that lacked a position is passed over.
+const BEHIND: Duration = Duration::from_millis(150);
+/// How long no connection is opened after the server had none to give.
+const FULL: Duration = Duration::from_millis(300);
+
+/// What an answer in the making belongs to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Expect {
+    /// The opening of the connection.
+    Startup,
+    /// A value, a reset or a preparation for the session that uses the connection.
+    Setup,
+    /// The begin of a transaction, sent at this moment.
+    Begin {
+        /// When it was sent.
+        at: Moment,
+        /// It may write, so that only a primary takes it.
+        writing: bool,
+    },
+    /// The statement of the session.
+    Statement {
+        /// When it was sent.
+        at: Moment,
+    },
+    /// The end of a transaction that nobody waits for.
+    Rollback,
+}
+
+/// How the answer in the making ended before its last message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// Well.
+    Done,
+    /// With an error.
+    Error(Code),
+}
+
+/// A connection to a server.
+#[derive(Debug)]
+pub struct Conn {
+    /// Index of the server.
+    pub server: usize,
+    /// Its socket, once it is open.
+    pub handle: Option<io::Handle>,
+    /// Bytes that hold no complete message yet.
+    pub inbox: BytesMut,
+    /// Bytes to send at the end of the loop's turn.
+    pub out: BytesMut,
+    /// Answers that are due, in order.
+    pub expected: VecDeque<Expect>,
+    /// Messages of the present answer for the caller, as they came.
+    pub answer: BytesMut,
+    /// How the present answer ended.
+    pub ended: Option<Ended>,
+    /// Values set on it.
+    pub values: BTreeMap<String, String>,
+    /// Shapes prepared on it.
+    pub prepared: HashSet<u32>,
+    /// Session that uses it.
+    pub session: Option<SessionKey>,
+    /// A transaction that the entry began for a single read is open.
+    pub wrapped: bool,
+    /// When its last use began or ended.
+    pub since: Instant,
+}
+
+impl Conn {
+    /// A connection that is being opened.
+    #[must_use]
+    pub fn new(server: usize, now: Instant) -> Self {
+        Self {
+            server,
+            handle: None,
+            inbox: BytesMut::new(),
+            out: BytesMut::new(),
+            expected: VecDeque::from([Expect::Startup]),
+            answer: BytesMut::new(),
+            ended: None,
+            values: BTreeMap::new(),
+            prepared: HashSet::default(),
+            session: None,
+            wrapped: false,
+            since: now,
+        }
+    }
+}
+
+/// A server.
+#[derive(Debug)]
+pub struct Server {
+    /// Its identity.
+    pub id: String,
+    /// Index of its service.
+    pub service: usize,
+    /// Where it takes connections.
+    pub address: SocketAddr,
+    /// Its present life.
+    pub life: Life,
+    /// It is in the entry's own failure domain.
+    pub local: bool,
+    /// The registry holds it.
+    pub listed: bool,
+    /// Since when it takes no new work.
+    pub draining_since: Option<Instant>,
+    /// All connections.
+    pub conns: Vec<ConnKey>,
+    /// Those that nobody uses, the latest used last.
+    pub idle: Vec<ConnKey>,
+    /// Those that are being opened.
+    pub opening: usize,
+    /// Connections that this entry may have.
+    pub most: usize,
+    /// Statements of this entry that it works on.
+    pub running: usize,
+    latency: Duration,
+    pause: Option<Duration>,
+    down_until: Option<Instant>,
+    behind_until: Option<Instant>,
+    full_until: Option<Instant>,
+    /// Latest position that it showed.
+    pub point: Option<Point>,
+    /// Last answer of any kind.
+    pub answered_at: Option<Instant>,
+}
+
+impl Server {
+    /// A server of which only the registry's entry is known.
+    #[must_use]
+    pub fn new(registered: &registry::Server, service: usize, local: bool) -> Self {
+        Self {
+            id: registered.id.clone(),
+            service,
+            address: registered.address,
+            life: registered.life,
+            local,
+            listed: true,
+            draining_since: None,
+            conns: Vec::new(),
+            idle: Vec::new(),
+            opening: 0,
+            most: 2,
+            running: 0,
+            latency: FIRST_LATENCY,
+            pause: None,
+            down_until: None,
+            behind_until: None,
+            full_until: None,
+            point: None,
+            answered_at: None,
+        }
+    }
+
+    /// Whether a connection may be opened now.
+    #[must_use]
+    pub fn has_room(&self, now: Instant) -> bool {
+        let full = self.full_until.is_some_and(|until| now < until);
+        self.listed && !full && !self.is_down(now) && self.conns.len() < self.most
+    }
+
+    /// Whether it is passed over after failures.
+    #[must_use]
+    pub fn is_down(&self, now: Instant) -> bool {
+        self.down_until.is_some_and(|until| now < until)
+    }
+
+    /// Until when it is passed over after failures or for want of connections.
+    #[must_use]
+    pub fn paused_until(&self) -> Option<Instant> {
+        self.down_until.max(self.full_until)
+    }
+
+    /// A statement was answered after `took`.
+    pub fn on_served(&mut self, took: Duration) {
+        self.latency = self.latency.mul_f64(1.0 - SMOOTHING) + took.mul_f64(SMOOTHING);
+    }
+
+    /// It answered something.
+    pub fn on_answer(&mut self, now: Instant, point: Option<Point>) {
+        self.answered_at = Some(now);
+        self.pause = None;
+        self.down_until = None;
+        if point.is_some() {
+            self.point = point;
+        }
+    }
+
+    /// It could not be reached, or left a statement unanswered.
+    pub fn on_failure(&mut self, now: Instant) {
+        let pause = self.pause.map_or(PAUSE, |pause| (pause * 2).min(MAX_PAUSE));
+        self.pause = Some(pause);
+        self.down_until = Some(now + pause);
+    }
+
+    /// Forgets failures, as something has changed.
+    pub fn forgive(&mut self, now: Instant) {
+        self.pause = None;
+        self.down_until = self.down_until.map(|until| until.min(now));
+    }
+
+    /// It lacked a position.
+    pub fn on_behind(&mut self, now: Instant) {
+        self.behind_until = Some(now + BEHIND);
+    }
+
+    /// It had no connection to give.
+    pub fn on_full(&mut self, now: Instant) {
+        self.full_until = Some(now + FULL);
+    }
+
+    /// As a candidate for a read.
+    #[must_use]
+    pub fn candidate(&self, index: usize, primary: bool, tried: bool, now: Instant) -> Candidate {
+        Candidate {
+            index,
+            draining: self.draining_since.is_some() || !self.listed,
+            primary,
+            local: self.local,
+            idle: !self.idle.is_empty(),
+            room: self.has_room(now),
+            running: self.running,
+            latency: self.latency,
+            down_until: self.down_until,
+            behind_until: self.behind_until,
+            point: self.point,
+            tried,
+        }
+    }
+}
+
+/// A service.
+#[derive(Debug)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Indices of its servers.
+    pub servers: Vec<usize>,
+    /// Index of the server that leads, as far as is known.
+    pub primary: Option<usize>,
+    /// Positions of the primary.
+    pub track: Track,
+    /// Statements that wait.
+    pub waiting: VecDeque<SessionKey>,
+    /// Since when the primary can't be used.
+    pub missed_since: Option<Instant>,
+    /// Connections that each server takes from all callers together.
+    pub connections: u32,
+}
+
+impl Service {
+    /// A service without servers.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            servers: Vec::new(),
+            primary: None,
+            track: Track::default(),
+            waiting: VecDeque::new(),
+            missed_since: None,
+            connections: 0,
+        }
+    }
+}
--- /dev/null
+++ b/components/proxy/src/subscribe.rs
@@ -0,0 +1,235 @@
+//! The stream to a coordinator: the registry, and complaints about primaries.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use registry::plan::Format;
+use registry::{Order, Registry};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use types::Name;
+use wire::{Complaint, Publish, Subscribe};
+
+use crate::clock::Clock;
+use crate::event::Event;
+use crate::process::Loop;
+use crate::protocol::Protocol;
+
+/// Pause before the next coordinator is dialled.
+const RETRY: Duration = Duration::from_millis(100);
+/// Time without a sign that the coordinator is in contact with a leader, after which another one is
+/// dialled. Several pulses are sent in this time.
+const SILENCE: Duration = Duration::from_millis(1500);
+/// Complaints that wait for the stream.
+const OUT: usize = 16;
+
+#[derive(Debug)]
+enum State {
+    Down(Instant),
+    Dialing,
+    Up {
+        out: mpsc::Sender<Subscribe>,
+        silent_at: Instant,
+    },
+}
+
+/// The stream, and where else to dial.
+#[derive(Debug)]
+pub struct Subscription {
+    instance: Name,
+    domain: Name,
+    seeds: Vec<SocketAddr>,
+    /// Coordinators that the last one named.
+    known: Vec<SocketAddr>,
+    /// Number of the next address. Starts differently on each entry, so that coordinators share the
+    /// streams.
+    next: usize,
+    /// Number of the present dial; events of earlier ones are dropped.
+    dial: u64,
+    state: State,
+    /// What was complained of last.
+    complaints: Vec<(String, String)>,
+}
+
+impl Subscription {
+    /// Not connected.
+    #[must_use]
+    pub fn new(settings: &settings::Proxy, now: Instant) -> Self {
+        let bytes = settings.instance.as_str().bytes();
+        let spread = bytes.fold(0usize, |sum, byte| sum.wrapping_mul(31) + usize::from(byte));
+        Self {
+            instance: settings.instance.clone(),
+            domain: settings.domain.clone(),
+            seeds: settings.seeds.clone(),
+            known: Vec::new(),
+            next: spread,
+            dial: 0,
+            state: State::Down(now),
+            complaints: Vec::new(),
+        }
+    }
+
+    /// Takes other seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    fn address(&mut self) -> Option<SocketAddr> {
+        let mut all: Vec<SocketAddr> = self.seeds.iter().chain(&self.known).copied().collect();
+        all.sort_unstable();
+        all.dedup();
+        self.next = self.next.wrapping_add(1);
+        let index = self.next.checked_rem(all.len())?;
+        all.get(index).copied()
+    }
+}
+
+impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
+    /// Dials, or gives a silent stream up.
+    pub(crate) fn keep_subscription(&mut self, now: Instant) {
+        match &self.subscription.state {
+            State::Down(at) if *at <= now => {}
+            State::Up { silent_at, .. } if *silent_at <= now => {
+                tracing::warn!("coordinator is silent or has lost its leader");
+                self.metrics.common.retries.add("coordinator");
+            }
+            _ => return self.complain(),
+        }
+        let Some(address) = self.subscription.address() else {
+            return;
+        };
+        self.subscription.dial += 1;
+        self.subscription.state = State::Dialing;
+        let (dial, events) = (self.subscription.dial, self.events.clone());
+        spawn_local(async move {
+            let Ok(stream) = link::dial(address, link::ENTRY).await else {
+                let _ended = events.send(Event::Dialed(dial, None)).await;
+                return;
+            };
+            let (out, outgoing) = mpsc::channel(OUT);
+            if events.send(Event::Dialed(dial, Some(out))).await.is_ok() {
+                let wrap = move |event| Event::Coordinator(dial, event);
+                stream.run(outgoing, events, wrap).await;
+            }
+        });
+    }
+
+    pub(crate) fn on_dialed(
+        &mut self,
+        now: Instant,
+        dial: u64,
+        out: Option<mpsc::Sender<Subscribe>>,
+    ) {
+        if dial != self.subscription.dial {
+            return;
+        }
+        let Some(out) = out else {
+            self.subscription.state = State::Down(now + RETRY);
+            return;
+        };
+        let open = Subscribe::Open {
+            version: wire::VERSION,
+            instance: self.subscription.instance.to_string(),
+            domain: self.subscription.domain.to_string(),
+        };
+        // The channel is new and has room.
+        let _sent = out.try_send(open);
+        self.subscription.complaints.clear();
+        self.subscription.state = State::Up {
+            out,
+            silent_at: now + SILENCE,
+        };
+    }
+
+    pub(crate) fn on_coordinator(&mut self, now: Instant, dial: u64, event: link::Event<Publish>) {
+        if dial != self.subscription.dial {
+            return;
+        }
+        let message = match event {
+            link::Event::Message(message) => message,
+            link::Event::Closed(error) => {
+                tracing::warn!(error = %format!("{error:#}"), "coordinator lost");
+                self.subscription.state = State::Down(now);
+                return;
+            }
+        };
+        match message {
+            Publish::Snapshot(raw) => match Registry::try_from(raw) {
+                // A coordinator that is behind sends what this entry has seen already.
+                Ok(registry) if registry.revision() < self.registry.revision() => {}
+                Ok(registry) => {
+                    tracing::info!(
+                        revision = registry.revision(),
+                        version = registry.version(),
+                        "registry received"
+                    );
+                    self.registry = registry;
+                    self.on_registry(now);
+                }
+                Err(error) => self.on_unreadable(now, &error),
+            },
+            Publish::Update { revision, order } => match Order::try_from(order) {
+                Ok(_) if revision <= self.registry.revision() => {}
+                Ok(order) => {
+                    let _outcome = self.registry.apply(revision, &order);
+                    self.on_registry(now);
+                }
+                Err(error) => self.on_unreadable(now, &error),
+            },
+            Publish::Pulse {
+                current,
+                coordinators,
+            } => {
+                if let State::Up { silent_at, .. } = &mut self.subscription.state
+                    && current
+                {
+                    *silent_at = now + SILENCE;
+                }
+                let known = coordinators.iter().filter_map(|it| it.parse().ok());
+                self.subscription.known = known.collect();
+            }
+        }
+    }
+
+    fn on_unreadable(&mut self, now: Instant, error: &anyhow::Error) {
+        tracing::error!(error = %format!("{error:#}"), "message of a coordinator refused");
+        self.metrics.common.refusals.add("coordinator");
+        self.subscription.state = State::Down(now + RETRY);
+    }
+
+    /// Tells the coordinators which primaries can't be used, when that has changed.
+    fn complain(&mut self) {
+        let State::Up { out, .. } = &self.subscription.state else {
+            return;
+        };
+        let missed = self.services.iter().filter(|it| it.missed_since.is_some());
+        let complaints: Vec<(String, String)> = missed
+            .filter_map(|service| {
+                let primary = &self.servers[service.primary?];
+                Some((service.name.clone(), primary.id.clone()))
+            })
+            .collect();
+        if complaints == self.subscription.complaints {
+            return;
+        }
+        let message = complaints.iter().map(|(service, id)| Complaint {
+            service: service.clone(),
+            id: id.clone(),
+            entries: 1,
+        });
+        if out.try_send(Subscribe::Complain(message.collect())).is_ok() {
+            tracing::info!(?complaints, "unusable primaries reported");
+            self.subscription.complaints = complaints;
+        }
+    }
+
+    pub(crate) fn reload(&mut self) {
+        match settings::load::<settings::Proxy>(&self.path) {
+            Ok(settings) => {
+                tracing::info!(seeds = ?settings.seeds, "settings read again");
+                self.subscription.set_seeds(settings.seeds);
+            }
+            Err(report) => tracing::warn!(%report, "changed settings refused"),
+        }
+    }
+}
--- /dev/null
+++ b/components/registry/src/lib.rs
@@ -0,0 +1,13 @@
+//! State of the coordinators' replicated log, and the decisions on it: the operators' plan, the
+//! servers that announce themselves and their lives, and changes of primary.
+
+pub mod change;
+pub mod convert;
+pub mod plan;
+pub mod server;
+pub mod state;
+
+pub use change::Machine;
+pub use plan::Plan;
+pub use server::{Life, Server};
+pub use state::{Order, Outcome, Registry};
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -6,31 +6,37 @@
 
 mod check;
 mod control;
+mod coordinator;
 mod entry;
 mod file;
 mod finding;
 mod log;
+mod proxy;
 mod schema;
 mod secret;
 mod standin;
 
 #[allow(missing_docs, reason = "generated; the schema holds the comments")]
 #[allow(clippy::use_self, clippy::derivable_impls, reason = "generated")]
-#[allow(unused_imports, reason = "generated; the re-export of defaults")]
+#[allow(dead_code, unused_imports, reason = "generated; helpers for defaults")]
 #[rustfmt::skip]
 pub mod generated {
     //! Settings files as they are written, generated from `schema/settings`.
 
     pub mod control;
+    pub mod coordinator;
     pub mod entry;
+    pub mod proxy;
     pub mod standin;
 }
 
 pub use control::{Control, Member};
+pub use coordinator::Coordinator;
 pub use entry::{Caller, Entry, Key};
 pub use file::{Kind, Ports, load, load_with, parse};
 pub use finding::{Finding, Report};
 pub use log::{Format, Level, Log};
+pub use proxy::Proxy;
 pub use schema::{Invalid, Schema};
 pub use secret::Secret;
 pub use standin::Standin;
--- a/components/settings/src/log.rs
+++ b/components/settings/src/log.rs
@@ -1,6 +1,6 @@
 //! Settings of the log.
 
-use crate::generated::{control, entry, standin};
+use crate::generated::{control, coordinator, entry, proxy, standin};
 
 /// Form of a log line.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -60,4 +60,4 @@
     )*};
 }
 
-from_raw!(control, entry, standin);
+from_raw!(control, coordinator, entry, proxy, standin);
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -143,31 +143,10 @@
     Dismiss { instance: String },
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Demand {
-    pub target: String,
-    pub connections: u32,
-}
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Health {
-    pub target: String,
-    pub role: Role,
-    pub point: Point,
-    pub silent_ms: u32,
-}
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub enum Up {
-    Hello { version: u32, instance: String, domain: String, boot: u64, revision: u64 },
-    Renew {
-        seq: u64,
-        age_ms: u64,
-        revision: u64,
-        confirmed: u64,
-        demand: Vec<Demand>,
-        long: Vec<Demand>,
-        health: Vec<Health>,
-        announcements: Vec<Announcement>,
-    },
-    Leave,
+pub struct Complaint {
+    pub service: String,
+    pub id: String,
+    pub entries: u32,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Seat {
@@ -217,6 +196,77 @@
     },
     SnapshotReply { offset: u64 },
     Hello { version: u32, address: String, blank: bool, http: String },
+    Introduce {
+        version: u32,
+        address: String,
+        http: String,
+        domain: String,
+        blank: bool,
+        founding: bool,
+        known: Vec<String>,
+    },
+    Report { entries: u32, complaints: Vec<Complaint> },
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Ended {
+    pub id: String,
+    pub born: u64,
+    pub sequence: u64,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Leader {
+    pub service: String,
+    pub id: String,
+    pub token: u64,
+    pub confirmed: bool,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Server {
+    pub id: String,
+    pub service: String,
+    pub address: String,
+    pub domain: String,
+    pub slots: u32,
+    pub draining: bool,
+    pub role: Role,
+    pub born: u64,
+    pub sequence: u64,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Registry {
+    pub revision: u64,
+    pub version: u64,
+    pub body: Bytes,
+    pub servers: Vec<Server>,
+    pub ended: Vec<Ended>,
+    pub leaders: Vec<Leader>,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    pub target: String,
+    pub connections: u32,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Health {
+    pub target: String,
+    pub role: Role,
+    pub point: Point,
+    pub silent_ms: u32,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Up {
+    Hello { version: u32, instance: String, domain: String, boot: u64, revision: u64 },
+    Renew {
+        seq: u64,
+        age_ms: u64,
+        revision: u64,
+        confirmed: u64,
+        demand: Vec<Demand>,
+        long: Vec<Demand>,
+        health: Vec<Health>,
+        announcements: Vec<Announcement>,
+    },
+    Leave,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Quota {
@@ -231,9 +281,28 @@
     Redirect { leader: Option<String> },
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Order {
+    Plan { version: u64, body: Bytes },
+    Register(Server),
+    Remove { id: String, born: u64, sequence: u64 },
+    Lead { service: String, id: String },
+    Confirm { service: String, token: u64 },
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Publish {
+    Snapshot(Registry),
+    Update { revision: u64, order: Order },
+    Pulse { current: bool, coordinators: Vec<String> },
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Peer {
     pub from: String,
     pub disk: u64,
     pub epoch: u64,
     pub body: Body,
 }
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Subscribe {
+    Open { version: u32, instance: String, domain: String },
+    Complain(Vec<Complaint>),
+}
--- a/src/args.rs
+++ b/src/args.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::{Arg, ArgAction, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use settings::{EXIT_FINDINGS, Kind, Ports, Report};
 
 /// Reads the command line and the settings file of the process `name`.
@@ -18,6 +18,20 @@
     load_from(name, about, std::env::args_os())
 }
 
+/// Like [`load`], with the path of the file for a process that reads it again when it changes.
+///
+/// # Errors
+/// Returns the exit code of a process that is not to start.
+pub fn load_with_path<T: Kind>(
+    name: &'static str,
+    about: &'static str,
+) -> Result<(T, PathBuf), ExitCode> {
+    let matches = command(name, about).get_matches();
+    let path = matches.get_one::<PathBuf>("settings");
+    let path = path.cloned().unwrap_or_default();
+    read(&matches, &path).map(|settings| (settings, path))
+}
+
 /// Like [`load`] with the given arguments, the first of which is the program.
 ///
 /// # Errors
@@ -29,12 +43,15 @@
 ) -> Result<T, ExitCode> {
     let matches = command(name, about).get_matches_from(args);
     let file = matches.get_one::<PathBuf>("settings");
+    read(&matches, file.map_or(Path::new(""), PathBuf::as_path))
+}
+
+fn read<T: Kind>(matches: &ArgMatches, file: &Path) -> Result<T, ExitCode> {
     let ports = if matches.get_flag("any-port") {
         Ports::Any
     } else {
         Ports::Fixed
     };
-    let file = file.map_or(Path::new(""), PathBuf::as_path);
     let settings = settings::load_with(file, ports).map_err(|report| refuse(&report))?;
     if matches.get_flag("check-settings") {
         return Err(ExitCode::SUCCESS);
--- /dev/null
+++ b/src/coordinator.rs
@@ -0,0 +1,18 @@
+//! Coordinator process: holds a replica of the registry's log on its disk and changes primaries.
+
+use std::process::ExitCode;
+
+use platform::{Conn, Endpoint};
+
+fn main() -> ExitCode {
+    let about = "Holds a replica of the plan and of the list of servers, and changes primaries";
+    let loaded = limpettally::args::load_with_path("limpettally-coordinator", about);
+    let (settings, path): (settings::Coordinator, _) = match loaded {
+        Ok(loaded) => loaded,
+        Err(code) => return code,
+    };
+    observe::process::run(async {
+        let _writer = observe::log::to_stdout(settings.log.format, settings.log.level)?;
+        coordinator::run::<Endpoint, Conn>(settings, path).await
+    })
+}
--- /dev/null
+++ b/src/proxy.rs
@@ -0,0 +1,19 @@
+//! Proxy process: takes sessions of callers and places their statements on servers.
+
+use std::process::ExitCode;
+
+use platform::{Document, Line};
+use proxy::clock::Boot;
+
+fn main() -> ExitCode {
+    let about = "Takes sessions of callers and places their statements on servers";
+    let loaded = limpettally::args::load_with_path("limpettally-proxy", about);
+    let (settings, path): (settings::Proxy, _) = match loaded {
+        Ok(loaded) => loaded,
+        Err(code) => return code,
+    };
+    observe::process::run(async {
+        let _writer = observe::log::to_stdout(settings.log.format, settings.log.level)?;
+        proxy::run::<Line, Document, Boot>(settings, path, Boot).await
+    })
+}
--- a/xtask/src/reference.rs
+++ b/xtask/src/reference.rs
@@ -26,13 +26,19 @@
 ";
 
 /// Schema files of the processes' settings with the heading and the introduction of each.
-const PROCESSES: [(&str, &str, &str); 3] = [
+const PROCESSES: [(&str, &str, &str); 5] = [
     (
         "control",
         "Control instance",
         "File of `limpettally-control`.",
     ),
     ("entry", "Entry", "File of `limpettally-entry`."),
+    (
+        "coordinator",
+        "Coordinator",
+        "File of `limpettally-coordinator`.",
+    ),
+    ("proxy", "Proxy", "File of `limpettally-proxy`."),
     (
         "standin",
         "Stand-in target",
--- a/xtask/src/settings.rs
+++ b/xtask/src/settings.rs
@@ -10,7 +10,7 @@
 use crate::messages::HEAD;
 
 /// Schema files and the files generated from them.
-const SOURCES: [(&str, &str); 5] = [
+const SOURCES: [(&str, &str); 7] = [
     (
         "schema/settings/control.json",
         "components/settings/src/generated/control.rs",
@@ -19,6 +19,14 @@
         "schema/settings/entry.json",
         "components/settings/src/generated/entry.rs",
     ),
+    (
+        "schema/settings/coordinator.json",
+        "components/settings/src/generated/coordinator.rs",
+    ),
+    (
+        "schema/settings/proxy.json",
+        "components/settings/src/generated/proxy.rs",
+    ),
     (
         "schema/settings/standin.json",
         "components/settings/src/generated/standin.rs",
