--- a/components/cluster/src/convert.rs
+++ b/components/cluster/src/convert.rs
@@ -51,6 +51,8 @@
     pub blank: bool,
     /// The whole system starts for the first time.
     pub founding: bool,
+    /// Entries that are subscribed to it.
+    pub entries: u32,
     /// Link addresses of the instances that it knows.
     pub known: Vec<SocketAddr>,
 }
@@ -85,6 +87,7 @@
             domain: intro.domain.to_string(),
             blank: intro.blank,
             founding: intro.founding,
+            entries: intro.entries,
             known: intro.known.iter().map(SocketAddr::to_string).collect(),
         },
     }
@@ -241,6 +244,7 @@
                 domain,
                 blank,
                 founding,
+                entries,
                 known,
             } => {
                 ensure!(known.len() <= MAX_KNOWN, "{} known instances", known.len());
@@ -253,6 +257,7 @@
                     domain: Name::try_from(domain).context("domain")?,
                     blank,
                     founding,
+                    entries,
                     known: known.collect::<Result<_, _>>().context("known address")?,
                 }))
             }
--- a/components/coordinator/src/event.rs
+++ b/components/coordinator/src/event.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct StreamId(pub u64);
 
-/// What a watched primary said.
+/// What a server said.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ping {
     /// It leads in this term.
@@ -52,10 +52,8 @@
         /// The answer.
         answer: Promotion,
     },
-    /// A watched primary was asked.
+    /// A server was asked whether it leads.
     Ping {
-        /// The service.
-        service: String,
         /// The server.
         id: String,
         /// What it said.
--- a/components/coordinator/src/fleet.rs
+++ b/components/coordinator/src/fleet.rs
@@ -13,12 +13,14 @@
 use crate::event::{Event, Ping};
 
 /// Time for a command to a server, with its connection.
-const COMMAND: Duration = Duration::from_millis(1500);
+const COMMAND: Duration = Duration::from_millis(500);
+/// Commands that wait for a server.
+const COMMANDS: usize = 4;
 /// Time for a call to the platform.
 const CALL: Duration = Duration::from_millis(1500);
-/// Interval of the questions to a primary.
+/// Interval of the questions to a server.
 const PING: Duration = Duration::from_millis(300);
-/// Time for one answer of a watched primary, and for a connection to it.
+/// Time for one such answer, with a connection.
 const PING_LIMIT: Duration = Duration::from_millis(600);
 
 /// What a platform offers: servers that take commands, and promotions.
@@ -42,34 +44,6 @@
     ) -> impl Future<Output = Result<Promotion>>;
 }
 
-/// Sends a command to a server; the answer becomes an event.
-pub fn command<F: Fleet>(events: &mpsc::Sender<Event>, server: &Server, command: Command) {
-    let (events, server) = (events.clone(), server.clone());
-    spawn_local(async move {
-        let answered = timeout(COMMAND, async {
-            F::connect(&server).await?.command(command).await
-        });
-        let status = match answered.await {
-            Ok(Ok(status)) => Some(status),
-            Ok(Err(error)) => {
-                tracing::info!(id = server.id, ?command, error = %format!("{error:#}"), "command failed");
-                None
-            }
-            Err(_) => {
-                tracing::info!(id = server.id, ?command, "command not answered");
-                None
-            }
-        };
-        let answer = Event::Answer {
-            service: server.service,
-            id: server.id,
-            command,
-            status,
-        };
-        let _ended = events.send(answer).await;
-    });
-}
-
 /// Asks the platform to promote a server; the answer becomes an event.
 pub fn promote<F: Fleet>(
     events: &mpsc::Sender<Event>,
@@ -104,36 +78,111 @@
     });
 }
 
-/// Asks a primary again and again whether it leads, until the handle is aborted.
-pub fn watch<F: Fleet>(events: &mpsc::Sender<Event>, server: &Server) -> JoinHandle<()> {
-    let (events, server) = (events.clone(), server.clone());
-    spawn_local(async move {
-        let mut open: Option<F> = None;
-        loop {
-            let asked = timeout(PING_LIMIT, async {
-                let mut conn = match open.take() {
-                    Some(conn) => conn,
-                    None => F::connect(&server).await?,
-                };
-                let term = conn.leads().await?;
-                anyhow::Ok((conn, term))
-            });
-            let ping = match asked.await {
-                Ok(Ok((conn, term))) => {
-                    open = Some(conn);
-                    term.map_or(Ping::Follows, Ping::Leads)
-                }
-                Ok(Err(_)) | Err(_) => Ping::Silent,
-            };
-            let event = Event::Ping {
-                service: server.service.clone(),
-                id: server.id.clone(),
-                ping,
-            };
-            if events.send(event).await.is_err() {
-                return;
-            }
-            sleep(PING).await;
+/// A task that keeps a connection to one server. Its connection is open before it is needed: once
+/// callers press, a server has none left to give.
+#[derive(Debug)]
+pub struct Agent {
+    commands: mpsc::Sender<Command>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Agent {
+    /// Starts the task.
+    pub fn start<F: Fleet>(events: &mpsc::Sender<Event>, server: &Server) -> Self {
+        let (commands, waiting) = mpsc::channel(COMMANDS);
+        let task = spawn_local(run::<F>(events.clone(), server.clone(), waiting));
+        Self { commands, task }
+    }
+
+    /// Has the server carry out a command; the answer becomes an event. One that finds no room is
+    /// repeated by whoever gave it.
+    pub fn command(&self, command: Command) {
+        let _full = self.commands.try_send(command);
+    }
+}
+
+async fn run<F: Fleet>(
+    events: mpsc::Sender<Event>,
+    server: Server,
+    mut commands: mpsc::Receiver<Command>,
+) {
+    let mut open: Option<F> = None;
+    loop {
+        let next = tokio::select! {
+            biased;
+            command = commands.recv() => match command {
+                Some(command) => Some(command),
+                None => return,
+            },
+            () = sleep(PING) => None,
+        };
+        let event = match next {
+            Some(command) => answer(&mut open, &server, command).await,
+            None => ping(&mut open, &server).await,
+        };
+        if events.send(event).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Takes the connection out, so that it is closed if the caller is cancelled or fails.
+async fn take<F: Fleet>(open: &mut Option<F>, server: &Server) -> Result<F> {
+    match open.take() {
+        Some(conn) => Ok(conn),
+        None => F::connect(server).await,
+    }
+}
+
+async fn answer<F: Fleet>(open: &mut Option<F>, server: &Server, command: Command) -> Event {
+    let asked = timeout(COMMAND, async {
+        let mut conn = take(open, server).await?;
+        let status = conn.command(command).await?;
+        anyhow::Ok((conn, status))
+    });
+    let status = match asked.await {
+        Ok(Ok((conn, status))) => {
+            *open = Some(conn);
+            Some(status)
+        }
+        Ok(Err(error)) => {
+            tracing::info!(id = server.id, ?command, error = %format!("{error:#}"), "command failed");
+            None
+        }
+        Err(_) => {
+            tracing::info!(id = server.id, ?command, "command not answered");
+            None
+        }
+    };
+    Event::Answer {
+        service: server.service.clone(),
+        id: server.id.clone(),
+        command,
+        status,
+    }
+}
+
+async fn ping<F: Fleet>(open: &mut Option<F>, server: &Server) -> Event {
+    let asked = timeout(PING_LIMIT, async {
+        let mut conn = take(open, server).await?;
+        let term = conn.leads().await?;
+        anyhow::Ok((conn, term))
+    });
+    let ping = match asked.await {
+        Ok(Ok((conn, term))) => {
+            *open = Some(conn);
+            term.map_or(Ping::Follows, Ping::Leads)
         }
-    })
+        Ok(Err(_)) | Err(_) => Ping::Silent,
+    };
+    Event::Ping {
+        id: server.id.clone(),
+        ping,
+    }
 }
--- a/components/coordinator/src/lead.rs
+++ b/components/coordinator/src/lead.rs
@@ -5,12 +5,12 @@
 use std::time::{Duration, Instant};
 
 use cluster::convert::Report;
-use registry::change::{Action, Signals, Verdict};
+use registry::change::{Action, Command, Signals, Verdict};
 use registry::{Machine, Registry};
-use tokio::task::JoinHandle;
 use types::Name;
 
 use crate::event::Ping;
+use crate::fleet::Agent;
 
 /// Interval of the steps of all services.
 const STEP: Duration = Duration::from_millis(100);
@@ -22,27 +22,27 @@
 const LONG_SILENCE: Duration = Duration::from_secs(3);
 /// How long the entries' majority has to miss a primary that answers this instance.
 const MISSED: Duration = Duration::from_millis(500);
+/// Time after a promotion in which entries that have not heard of it still miss the primary.
+const FRESH: Duration = Duration::from_secs(1);
 /// Silence after which a server is removed from the registry.
 pub const GONE: Duration = Duration::from_secs(20);
 
-/// A primary under watch.
+/// A server under watch.
 #[derive(Debug)]
 struct Watch {
-    id: String,
-    task: JoinHandle<()>,
+    /// Start of the life that is watched.
+    born: u64,
+    agent: Agent,
     /// Last answer, at first the start of the watch.
     answered_at: Instant,
     /// It answered that it does not lead.
     follows: bool,
+    /// Highest term in which it led.
     term: Option<u64>,
     /// Since when most entries miss it.
     missed_since: Option<Instant>,
-}
-
-impl Drop for Watch {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
+    /// Until when nothing is held against it, as it has only begun to lead.
+    fresh_until: Option<Instant>,
 }
 
 /// State of a leader.
@@ -52,6 +52,7 @@
     /// Last heartbeat of each server.
     heard: BTreeMap<String, Instant>,
     reports: BTreeMap<Name, (Instant, Report)>,
+    /// By the server's identity.
     watches: BTreeMap<String, Watch>,
     machines: BTreeMap<String, Machine>,
     /// When each change under way began.
@@ -121,9 +122,9 @@
         (missing, all)
     }
 
-    /// A watched primary was asked.
-    pub fn on_ping(&mut self, now: Instant, service: &str, id: &str, ping: Ping) {
-        let Some(watch) = self.watches.get_mut(service).filter(|it| it.id == id) else {
+    /// A server was asked whether it leads.
+    pub fn on_ping(&mut self, now: Instant, id: &str, ping: Ping) {
+        let Some(watch) = self.watches.get_mut(id) else {
             return;
         };
         match ping {
@@ -140,58 +141,66 @@
         }
     }
 
+    /// Sends a command to a server.
+    pub fn command(&self, id: &str, command: Command) {
+        if let Some(watch) = self.watches.get(id) {
+            watch.agent.command(command);
+        }
+    }
+
     /// The machine of a service.
     pub fn machine(&mut self, service: &str) -> Option<&mut Machine> {
         self.machines.get_mut(service)
     }
 
-    /// Steps all services if that is due. `watch` starts the watch of a server.
+    /// Steps all services if that is due. `start` starts the agent of a server.
     pub fn on_tick(
         &mut self,
         now: Instant,
         registry: &Registry,
-        watch: impl Fn(&registry::Server) -> JoinHandle<()>,
+        start: impl Fn(&registry::Server) -> Agent,
         out: &mut Vec<(String, Action)>,
     ) {
         if now < self.step_at {
             return;
         }
         self.step_at = now + STEP;
+        self.follow(now, registry, start);
         let mut services: Vec<&str> = registry.servers().map(|s| s.service.as_str()).collect();
         services.sort_unstable();
         services.dedup();
         for service in services {
-            self.follow(now, service, registry, &watch);
             self.step(now, service, registry, out);
         }
     }
 
-    /// Watches the present primary of a service.
+    /// Watches the present life of every server.
     fn follow(
         &mut self,
         now: Instant,
-        service: &str,
         registry: &Registry,
-        start: impl Fn(&registry::Server) -> JoinHandle<()>,
+        start: impl Fn(&registry::Server) -> Agent,
     ) {
-        let Some(primary) = registry.primary(service) else {
-            self.watches.remove(service);
-            return;
+        let is_current = |id: &String, watch: &mut Watch| {
+            let server = registry.server(id);
+            server.is_some_and(|server| server.life.born == watch.born)
         };
-        let known = self.watches.get(service);
-        if known.is_some_and(|watch| watch.id == primary.id) {
-            return;
+        self.watches.retain(is_current);
+        for server in registry.servers() {
+            if self.watches.contains_key(&server.id) {
+                continue;
+            }
+            let watch = Watch {
+                born: server.life.born,
+                agent: start(server),
+                answered_at: now,
+                follows: false,
+                term: None,
+                missed_since: None,
+                fresh_until: None,
+            };
+            self.watches.insert(server.id.clone(), watch);
         }
-        let term = known.and_then(|watch| watch.term);
-        let watch = Watch {
-            id: primary.id.clone(),
-            task: start(primary),
-            answered_at: now,
-            follows: false,
-            term,
-            missed_since: None,
-        };
-        self.watches.insert(service.to_owned(), watch);
     }
 
     fn step(
@@ -201,8 +210,11 @@
         registry: &Registry,
         out: &mut Vec<(String, Action)>,
     ) {
-        let verdict = self.verdict(now, service);
-        let term = self.watches.get(service).and_then(|watch| watch.term);
+        let verdict = self.verdict(now, service, registry);
+        let terms = registry
+            .members(service)
+            .filter_map(|it| self.watches.get(&it.id)?.term);
+        let term = terms.max();
         let signals = Signals { verdict, term };
         let (heard, since) = (&self.heard, self.since);
         let silence = |id: &str| {
@@ -234,24 +246,32 @@
         out.extend(actions.into_iter().map(|it| (service.to_owned(), it)));
     }
 
-    /// A change has ended; returns how long it took.
-    pub fn on_confirmed(&mut self, now: Instant, service: &str) -> Option<Duration> {
+    /// A change has ended; returns how long it took. Nothing that was said of the new primary
+    /// before counts.
+    pub fn on_confirmed(&mut self, now: Instant, service: &str, id: &str) -> Option<Duration> {
+        if let Some(watch) = self.watches.get_mut(id) {
+            watch.answered_at = now;
+            watch.follows = false;
+            watch.missed_since = None;
+            watch.fresh_until = Some(now + FRESH);
+        }
         let begun = self.begun.remove(service)?;
         Some(now.saturating_duration_since(begun))
     }
 
     /// Whether a primary can be used. An instance that alone has lost it says nothing: what
     /// counts is whether entries reach it, and whether it still leads.
-    fn verdict(&mut self, now: Instant, service: &str) -> Verdict {
-        let Some(id) = self.watches.get(service).map(|watch| watch.id.clone()) else {
+    fn verdict(&mut self, now: Instant, service: &str, registry: &Registry) -> Verdict {
+        let Some(primary) = registry.primary(service) else {
             return Verdict::Unknown;
         };
-        let (missing, entries) = self.missing(now, service, &id);
-        let heard = self.silence(now, &id);
-        let Some(watch) = self.watches.get_mut(service) else {
+        let (missing, entries) = self.missing(now, service, &primary.id);
+        let heard = self.silence(now, &primary.id);
+        let Some(watch) = self.watches.get_mut(&primary.id) else {
             return Verdict::Unknown;
         };
-        if missing > 0 && missing * 2 >= entries {
+        let fresh = watch.fresh_until.is_some_and(|until| now < until);
+        if missing > 0 && missing * 2 >= entries && !fresh {
             watch.missed_since.get_or_insert(now);
         } else {
             watch.missed_since = None;
--- a/components/coordinator/src/log.rs
+++ b/components/coordinator/src/log.rs
@@ -161,7 +161,8 @@
         self.subscribers.publish(&update);
         if let Order::Confirm { service, .. } = &order
             && let Some(lead) = &mut self.lead
-            && let Some(took) = lead.on_confirmed(now, service)
+            && let Some(chosen) = self.registry.leader(service)
+            && let Some(took) = lead.on_confirmed(now, service, &chosen.id)
         {
             self.metrics.change_seconds.observe(took.as_secs_f64());
             tracing::info!(service, ms = took.as_millis(), "primary changed");
--- a/components/coordinator/src/membership.rs
+++ b/components/coordinator/src/membership.rs
@@ -28,6 +28,7 @@
             // receive its introduction only after it has founded the cluster.
             blank: self.node.last().index <= FOUNDING_INDEX,
             founding: self.settings.founding,
+            entries: u32::try_from(self.subscribers.count()).unwrap_or(u32::MAX),
             known: self.roster.known(now, self.node.members()),
         }
     }
--- a/components/coordinator/src/process.rs
+++ b/components/coordinator/src/process.rs
@@ -20,7 +20,7 @@
 
 use crate::api::Api;
 use crate::event::{Event, StreamId};
-use crate::fleet::{self, Fleet};
+use crate::fleet::{self, Agent, Fleet};
 use crate::lead::Lead;
 use crate::log;
 use crate::metrics::Set;
@@ -310,9 +310,9 @@
                     lead.step_soon(now);
                 }
             }
-            Event::Ping { service, id, ping } => {
+            Event::Ping { id, ping } => {
                 if let Some(lead) = &mut self.lead {
-                    lead.on_ping(now, &service, &id, ping);
+                    lead.on_ping(now, &id, ping);
                 }
             }
             Event::Http(request) => self.on_request(now, request)?,
@@ -336,8 +336,8 @@
         let mut due = Vec::new();
         if let Some(lead) = &mut self.lead {
             let events = &self.events;
-            let watch = |server: &registry::Server| fleet::watch::<F>(events, server);
-            lead.on_tick(now, &self.registry, watch, &mut due);
+            let start = |server: &registry::Server| Agent::start::<F>(events, server);
+            lead.on_tick(now, &self.registry, start, &mut due);
         }
         self.act(now, due)?;
         let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
@@ -354,8 +354,8 @@
         for (service, action) in actions {
             let order = match action {
                 Action::Command { id, command } => {
-                    if let Some(server) = self.registry.server(&id) {
-                        fleet::command::<F>(&self.events, server, command);
+                    if let Some(lead) = &self.lead {
+                        lead.command(&id, command);
                     }
                     continue;
                 }
--- a/components/coordinator/src/serve.rs
+++ b/components/coordinator/src/serve.rs
@@ -293,8 +293,10 @@
     /// Tells the entries whether this instance is in contact with a leader.
     pub(crate) fn pulse(&mut self, now: Instant) {
         let known = self.roster.known(now, self.node.members());
+        let own = u32::try_from(self.subscribers.count()).unwrap_or(u32::MAX);
         let pulse = wire::Publish::Pulse {
             current: self.is_current(now),
+            entries: self.roster.entries(now).saturating_add(own),
             coordinators: known.iter().map(ToString::to_string).collect(),
         };
         self.subscribers.publish(&pulse);
--- a/components/proxy/src/answer.rs
+++ b/components/proxy/src/answer.rs
@@ -198,10 +198,7 @@
                 Duration::ZERO
             }
             Code::ReadOnly => {
-                let service = &mut self.services[server.service];
-                if service.primary == Some(index) {
-                    service.missed_since.get_or_insert(now);
-                }
+                self.miss(now, index);
                 NOT_LEADING
             }
             Code::Busy => BUSY,
@@ -252,20 +249,18 @@
             self.release(now, key, state != State::Idle);
             return self.try_again(now, session_key, index, code);
         }
-        let in_transaction = self
-            .sessions
-            .get(session_key)
-            .is_some_and(|session| session.transaction.is_some());
-        let changed = work.kind.may_change();
-        let proves =
-            error.is_none() && (changed || (in_transaction && !self.reads_only(session_key)));
-        if proves {
+        if error.is_none() && self.proves_leading(session_key, work.kind) {
             self.on_leading(key, at, point);
         }
         let Some(session) = self.sessions.get_mut(session_key) else {
             return;
         };
-        if error.is_none() && changed {
+        let open = session.transaction.as_ref();
+        let committed = match work.kind {
+            Kind::Commit => open.is_some_and(|open| open.wrote),
+            kind => open.is_none() && kind.may_change(),
+        };
+        if error.is_none() && committed {
             session.point = point.or(session.point);
         }
         let done = work.kind == Kind::Commit;
@@ -274,6 +269,7 @@
             session.transaction = None;
         } else if let Some(open) = &mut session.transaction {
             open.used |= error.is_none();
+            open.wrote |= error.is_none() && work.kind.may_change();
             // A server that has ended the transaction by itself leaves nothing but the report.
             open.failed = state != State::Open;
             kept = state != State::Idle;
@@ -297,9 +293,15 @@
         self.count(now, &work, index, error);
     }
 
-    fn reads_only(&self, key: SessionKey) -> bool {
+    /// Whether the success of a statement shows that its server led. A server that does not lead
+    /// refuses writes and all of a writing transaction, but for the commit of one that wrote nothing.
+    fn proves_leading(&self, key: SessionKey, kind: Kind) -> bool {
         let open = self.sessions.get(key).and_then(|s| s.transaction.as_ref());
-        open.is_some_and(|open| open.read_only)
+        match (open, kind) {
+            (Some(open), Kind::Commit) => open.wrote,
+            (Some(open), _) => !open.read_only,
+            (None, kind) => kind.may_change(),
+        }
     }
 
     /// Whether a statement with an error is tried again: nothing of it, or of its transaction, has
--- a/components/proxy/src/connection.rs
+++ b/components/proxy/src/connection.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Buf as _, Bytes};
+use bytes::Buf as _;
 use link::io;
 use registry::plan::Format;
 use tokio::net::TcpStream;
@@ -22,10 +22,10 @@
 const OPEN_LIMIT: Duration = Duration::from_millis(1200);
 /// Time after which a server that acknowledges no bytes counts as gone.
 const SILENCE: Duration = Duration::from_secs(3);
-/// How long a connection beyond those that are kept stays idle.
-const IDLE: Duration = Duration::from_secs(4);
-/// Idle connections to a server that are kept.
-const KEPT: usize = 1;
+/// How long a connection of the share stays idle, but for one that is kept.
+const IDLE: Duration = Duration::from_secs(10);
+/// How long a borrowed connection stays idle.
+const BORROWED_IDLE: Duration = Duration::from_millis(500);
 /// Time after which an opened connection has to have answered.
 const STARTUP: Duration = Duration::from_millis(1500);
 
@@ -107,7 +107,7 @@
         let Some(conn) = self.conns.get_mut(key) else {
             return;
         };
-        let mut rest: Bytes = conn.inbox.split().freeze();
+        let mut rest = conn.inbox.split().freeze();
         loop {
             let (used, answer) = match P::answer(&rest, self.settings.max_message) {
                 Ok(Some(found)) => found,
@@ -281,14 +281,20 @@
     pub(crate) fn close_idle(&mut self, now: Instant) {
         let mut surplus = Vec::new();
         for server in &self.servers {
-            let idle = server
-                .idle
-                .iter()
-                .take(server.idle.len().saturating_sub(KEPT));
-            surplus.extend(idle.filter(|key| {
-                let conn = self.conns.get(**key);
-                conn.is_some_and(|conn| now >= conn.since + IDLE)
-            }));
+            let borrowed = server.conns.len().saturating_sub(server.share);
+            let last = server.idle.len().saturating_sub(1);
+            // The ones that were idle longest come first.
+            for (position, key) in server.idle.iter().take(last).enumerate() {
+                let limit = if position < borrowed {
+                    BORROWED_IDLE
+                } else {
+                    IDLE
+                };
+                let conn = self.conns.get(*key);
+                if conn.is_some_and(|conn| now >= conn.since + limit) {
+                    surplus.push(*key);
+                }
+            }
         }
         for key in surplus {
             self.close_conn(key);
--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -61,13 +61,16 @@
             }
             Place::Fresh(after) => {
                 let candidates = self.candidates(now, service, work);
-                let Some(index) = choose(&candidates, after, now) else {
+                let chosen = choose(&candidates, after, now);
+                let chosen = chosen.or_else(|| self.borrow(now, service, key, after));
+                let Some(index) = chosen else {
                     return false;
                 };
                 (index, Some(after))
             }
         };
         let Some(conn) = self.take_conn(key, index) else {
+            self.servers[index].borrow(now);
             if self.servers[index].has_room(now) {
                 self.open_for_waiting(now, index);
             }
@@ -122,6 +125,21 @@
         service.servers.iter().map(candidate).collect()
     }
 
+    /// Borrows a connection of the servers whose share is used up, and chooses again.
+    fn borrow(
+        &mut self,
+        now: Instant,
+        service: usize,
+        key: SessionKey,
+        after: Point,
+    ) -> Option<usize> {
+        for index in &self.services[service].servers {
+            self.servers[*index].borrow(now);
+        }
+        let work = self.sessions.get(key)?.work.as_ref()?;
+        choose(&self.candidates(now, service, work), after, now)
+    }
+
     /// Takes an idle connection, one with the session's values if there is any.
     fn take_conn(&mut self, key: SessionKey, index: usize) -> Option<ConnKey> {
         let values = &self.sessions.get(key)?.values;
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -10,15 +10,15 @@
 use crate::protocol::Protocol;
 use crate::server::{Server, Service};
 
-/// Share of a server's connections that one entry may open: a third. Most entries need few, and a
-/// server that has none left says so.
-const SHARE: u32 = 3;
+/// Connections of each server that are left to coordinators and to entries that have just started.
+const RESERVE: u32 = 4;
 /// Fewest connections to a server that an entry may have.
-const FEWEST: u32 = 2;
+const FEWEST: u32 = 1;
 
 impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
     pub(crate) fn on_registry(&mut self, now: Instant) {
         self.follow_plan();
+        self.clear_confirmed();
         self.follow_servers(now);
         for index in 0..self.services.len() {
             self.follow_primary(now, index);
@@ -55,6 +55,18 @@
         }
     }
 
+    /// A primary that was only chosen leads now: nothing that was held against it counts.
+    fn clear_confirmed(&mut self) {
+        for service in &mut self.services {
+            let token = self.registry.leader(&service.name);
+            let token = token.filter(|it| it.confirmed).map_or(0, |it| it.token);
+            if token > service.confirmed {
+                service.confirmed = token;
+                service.missed_since = None;
+            }
+        }
+    }
+
     fn service(&mut self, name: &str) -> usize {
         if let Some(index) = self.names.get(name) {
             return *index;
@@ -80,16 +92,17 @@
             }
             present[index] = true;
             let service = &self.services[self.servers[index].service];
-            let most = (service.connections / SHARE).max(FEWEST);
+            let shared = service.connections.saturating_sub(RESERVE);
+            let share = (shared / self.subscription.entries()).max(FEWEST);
             let server = &mut self.servers[index];
-            server.most = most as usize;
+            server.set_share(share as usize, shared as usize);
             if registered.draining && server.draining_since.is_none() {
                 server.draining_since = Some(now);
                 tracing::info!(id = server.id, "server drains");
             }
         }
-        for index in 0..self.servers.len() {
-            if !present[index] && self.servers[index].listed {
+        for (index, present) in present.into_iter().enumerate() {
+            if !present && self.servers[index].listed {
                 self.retire(index);
             }
         }
--- a/components/proxy/src/lost.rs
+++ b/components/proxy/src/lost.rs
@@ -191,10 +191,13 @@
         }
     }
 
-    /// Takes note that a server could not be used, if it is its service's primary.
-    fn miss(&mut self, now: Instant, index: usize) {
+    /// Takes note that a server could not be used, if it is its service's primary. One that was
+    /// only chosen does not lead yet.
+    pub(crate) fn miss(&mut self, now: Instant, index: usize) {
         let service = &mut self.services[self.servers[index].service];
-        if service.primary == Some(index) {
+        let chosen = self.registry.leader(&service.name);
+        let leads = chosen.is_none_or(|leader| leader.confirmed);
+        if service.primary == Some(index) && leads {
             service.missed_since.get_or_insert(now);
         }
     }
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -134,8 +134,12 @@
     pub idle: Vec<ConnKey>,
     /// Those that are being opened.
     pub opening: usize,
-    /// Connections that this entry may have.
-    pub most: usize,
+    /// This entry's equal share of the connections.
+    pub share: usize,
+    /// Connections beyond the share that may be borrowed at present.
+    borrow: usize,
+    /// Connections that all entries share.
+    shared: usize,
     /// Statements of this entry that it works on.
     pub running: usize,
     latency: Duration,
@@ -164,7 +168,9 @@
             conns: Vec::new(),
             idle: Vec::new(),
             opening: 0,
-            most: 2,
+            share: 1,
+            borrow: 0,
+            shared: 1,
             running: 0,
             latency: FIRST_LATENCY,
             pause: None,
@@ -180,7 +186,7 @@
     #[must_use]
     pub fn has_room(&self, now: Instant) -> bool {
         let full = self.full_until.is_some_and(|until| now < until);
-        self.listed && !full && !self.is_down(now) && self.conns.len() < self.most
+        self.listed && !full && !self.is_down(now) && self.conns.len() < self.share + self.borrow
     }
 
     /// Whether it is passed over after failures.
@@ -228,9 +234,25 @@
         self.behind_until = Some(now + BEHIND);
     }
 
-    /// It had no connection to give.
+    /// It had no connection to give: nothing is borrowed any more.
     pub fn on_full(&mut self, now: Instant) {
         self.full_until = Some(now + FULL);
+        self.borrow = 0;
+    }
+
+    /// Sets this entry's equal share, of all that are shared.
+    pub fn set_share(&mut self, share: usize, shared: usize) {
+        (self.share, self.shared) = (share, shared);
+    }
+
+    /// Statements wait although the share is used up: one more connection may be borrowed, as
+    /// other entries rarely use all of theirs.
+    pub fn borrow(&mut self, now: Instant) {
+        let full = self.full_until.is_some_and(|until| now < until);
+        let most = self.shared.saturating_sub(self.share) / 2;
+        if !full && self.conns.len() >= self.share + self.borrow && self.borrow < most {
+            self.borrow += 1;
+        }
     }
 
     /// As a candidate for a read.
@@ -268,6 +290,8 @@
     pub waiting: VecDeque<SessionKey>,
     /// Since when the primary can't be used.
     pub missed_since: Option<Instant>,
+    /// Token of the last promotion that is known to have taken effect.
+    pub confirmed: u64,
     /// Connections that each server takes from all callers together.
     pub connections: u32,
 }
@@ -283,6 +307,7 @@
             track: Track::default(),
             waiting: VecDeque::new(),
             missed_since: None,
+            confirmed: 0,
             connections: 0,
         }
     }
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -46,6 +46,8 @@
     pub conn: Option<ConnKey>,
     /// A statement of it has run.
     pub used: bool,
+    /// A write of it has run.
+    pub wrote: bool,
     /// It can only be ended.
     pub failed: bool,
     /// When it may be ended for resting.
--- a/components/proxy/src/settle.rs
+++ b/components/proxy/src/settle.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Buf as _, Bytes};
+use bytes::Buf as _;
 use link::io;
 use registry::plan::Format;
 use tokio::net::TcpStream;
@@ -89,7 +89,7 @@
             if session.work.is_some() || session.closing {
                 return;
             }
-            let inbox: Bytes = session.inbox.split().freeze();
+            let inbox = session.inbox.split().freeze();
             let next = P::request(&inbox, self.settings.max_message);
             let used = match next {
                 Ok(Some((used, request))) => {
@@ -285,6 +285,7 @@
                 arrived,
                 conn: None,
                 used: false,
+                wrote: false,
                 failed: false,
                 rests_until: None,
             });
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -20,6 +20,8 @@
 /// Time without a sign that the coordinator is in contact with a leader, after which another one is
 /// dialled. Several pulses are sent in this time.
 const SILENCE: Duration = Duration::from_millis(1500);
+/// Entries that are assumed before a coordinator has told their number.
+const ASSUMED: u32 = 16;
 /// Complaints that wait for the stream.
 const OUT: usize = 16;
 
@@ -49,6 +51,8 @@
     state: State,
     /// What was complained of last.
     complaints: Vec<(String, String)>,
+    /// Entries of the whole system.
+    entries: u32,
 }
 
 impl Subscription {
@@ -66,9 +70,15 @@
             dial: 0,
             state: State::Down(now),
             complaints: Vec::new(),
+            entries: ASSUMED,
         }
     }
 
+    /// Entries of the whole system, which share the servers' connections.
+    pub fn entries(&self) -> u32 {
+        self.entries.max(1)
+    }
+
     /// Takes other seeds.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
@@ -178,6 +188,7 @@
             },
             Publish::Pulse {
                 current,
+                entries,
                 coordinators,
             } => {
                 if let State::Up { silent_at, .. } = &mut self.subscription.state
@@ -185,6 +196,10 @@
                 {
                     *silent_at = now + SILENCE;
                 }
+                if current && entries != self.subscription.entries {
+                    self.subscription.entries = entries;
+                    self.on_registry(now);
+                }
                 let known = coordinators.iter().filter_map(|it| it.parse().ok());
                 self.subscription.known = known.collect();
             }
--- a/components/registry/src/change.rs
+++ b/components/registry/src/change.rs
@@ -149,6 +149,8 @@
     /// When the platform is asked next; none while an answer is awaited or once it accepted.
     call_at: Option<Instant>,
     accepted: bool,
+    /// It leads; the order that says so is proposed.
+    leads: bool,
     verify_at: Instant,
 }
 
@@ -227,6 +229,9 @@
                 }
                 _ => {}
             },
+            Phase::Promote(promote) if promote.is_confirmed(&self.service, registry) => {
+                self.phase = Phase::Steady;
+            }
             Phase::Promote(promote) if promote.until <= now => {
                 self.phase = Phase::Gather(Gather::new(now, None));
             }
@@ -263,7 +268,7 @@
             let (id, token) = (promote.id.clone(), promote.token);
             out.push(Action::Promote { id, token });
         }
-        if promote.verify_at <= now {
+        if promote.verify_at <= now && !promote.leads {
             promote.verify_at = now + VERIFY;
             let (id, command) = (promote.id.clone(), Command::Verify);
             out.push(Action::Command { id, command });
@@ -280,15 +285,18 @@
     ) {
         match &mut self.phase {
             Phase::Gather(gather) => gather.on_answer(id, command, status),
-            Phase::Promote(promote) if command == Command::Verify && promote.id == id => {
-                // An answer to an earlier question would do as well: whoever leads does not stop
-                // leading but by a later promotion.
-                if status.is_some() && promote.accepted {
-                    out.push(Action::Confirm {
-                        token: promote.token,
-                    });
-                    self.phase = Phase::Steady;
-                }
+            // An answer to an earlier question would do as well: whoever leads does not stop leading
+            // but by a later promotion.
+            Phase::Promote(promote)
+                if command == Command::Verify
+                    && promote.id == id
+                    && status.is_some()
+                    && promote.accepted =>
+            {
+                promote.leads = true;
+                out.push(Action::Confirm {
+                    token: promote.token,
+                });
             }
             _ => {}
         }
@@ -311,6 +319,11 @@
 }
 
 impl Promote {
+    fn is_confirmed(&self, service: &str, registry: &Registry) -> bool {
+        let leader = registry.leader(service);
+        leader.is_some_and(|leader| leader.token == self.token && leader.confirmed)
+    }
+
     fn new(now: Instant, id: String, token: u64) -> Self {
         Self {
             id,
@@ -318,6 +331,7 @@
             until: now + PROMOTION,
             call_at: Some(now),
             accepted: false,
+            leads: false,
             verify_at: now + VERIFY,
         }
     }
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -203,6 +203,7 @@
         domain: String,
         blank: bool,
         founding: bool,
+        entries: u32,
         known: Vec<String>,
     },
     Report { entries: u32, complaints: Vec<Complaint> },
@@ -292,7 +293,7 @@
 pub enum Publish {
     Snapshot(Registry),
     Update { revision: u64, order: Order },
-    Pulse { current: bool, coordinators: Vec<String> },
+    Pulse { current: bool, entries: u32, coordinators: Vec<String> },
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Peer {
