--- a/components/proxy/src/stop.rs
+++ b/components/proxy/src/stop.rs
@@ -17,6 +17,8 @@
 const TRANSACTIONS: u32 = 2;
 /// Time before the deadline by which the process ends.
 const MARGIN: Duration = Duration::from_millis(300);
+/// Time after the last session in which its last bytes reach its socket.
+const LINGER: Duration = Duration::from_millis(200);
 /// Interval at which sessions are looked at.
 const STEP: Duration = Duration::from_millis(50);
 
@@ -29,6 +31,8 @@
     end_at: Instant,
     /// When the process ends.
     deadline: Instant,
+    /// Since when there are no sessions any more.
+    empty_since: Option<Instant>,
 }
 
 impl Stop {
@@ -56,6 +60,7 @@
             close_at: now + ROTATION.min(limit / 2),
             end_at: now + limit / TRANSACTIONS,
             deadline: now + limit.saturating_sub(MARGIN),
+            empty_since: None,
         });
     }
 
@@ -67,6 +72,10 @@
         if !stop.is_closed(now) {
             return;
         }
+        if let Some(stop) = &mut self.stop {
+            let empty = self.sessions.is_empty();
+            stop.empty_since = empty.then(|| stop.empty_since.unwrap_or(now));
+        }
         let idle = |key: &SessionKey| self.sessions.get(*key).is_some_and(|s| s.is_idle());
         for key in self.sessions.keys().filter(idle).collect::<Vec<_>>() {
             self.end_session(key);
@@ -96,7 +105,8 @@
     /// Whether the process may end.
     pub(crate) fn is_stopped(&self, now: Instant) -> bool {
         self.stop.is_some_and(|stop| {
-            (self.sessions.is_empty() && stop.is_closed(now)) || now >= stop.deadline
+            let empty = stop.empty_since.is_some_and(|since| now >= since + LINGER);
+            empty || now >= stop.deadline
         })
     }
 }
