Ask replicas for the oldest position that a read accepts

Cause: reads named the latest known position although they accept older data, so that a lagging replica was of no use and its primary overflowed.

Ruled out: a longer pause after a replica lacked a position; it had none of the positions asked for.

--- a/components/proxy/src/freshness.rs
+++ b/components/proxy/src/freshness.rs
@@ -1,5 +1,6 @@
 //! Which position a read has to see.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use registry::plan::Freshness;
@@ -7,6 +8,11 @@
 
 use crate::clock::Moment;
 
+/// Time between two samples that are both kept.
+const SPACING: Duration = Duration::from_millis(25);
+/// Age of the oldest sample that is kept, by the latest one. Reads that accept more see this much.
+const KEPT: Duration = Duration::from_secs(10);
+
 /// A position of a primary that proved to lead.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Sample {
@@ -16,34 +22,61 @@
     pub at: Moment,
 }
 
-/// Latest sample of a service's primary.
-#[derive(Clone, Copy, Debug, Default)]
+/// Samples of a service's primary, oldest first.
+///
+/// Invariant: all are of one term, and neither positions nor moments fall. A promotion may roll
+/// back what the old primary had not yet had acknowledged, so that its positions are of no use then.
+#[derive(Clone, Debug, Default)]
 pub struct Track {
-    latest: Option<Sample>,
+    samples: VecDeque<Sample>,
 }
 
 impl Track {
-    /// Takes a sample. One that was asked for earlier, or of an earlier term, is of no use.
+    /// Takes a sample. One of an earlier term, or that was asked for earlier, is of no use.
     pub fn observe(&mut self, sample: Sample) {
-        let newer = |known: &Sample| {
-            sample.point.term >= known.point.term
-                && (sample.at > known.at || sample.point.term > known.point.term)
-        };
-        if self.latest.as_ref().is_none_or(newer) {
-            self.latest = Some(sample);
+        if let Some(latest) = self.latest() {
+            if sample.point.term < latest.point.term {
+                return;
+            }
+            if sample.point.term > latest.point.term {
+                self.samples.clear();
+            } else if sample.at <= latest.at {
+                return;
+            }
+        }
+        // Between two close samples the later one adds little.
+        let end = self.samples.len();
+        if end >= 2 && sample.at.since(self.samples[end - 2].at) < SPACING {
+            self.samples.pop_back();
+        }
+        self.samples.push_back(sample);
+        while self
+            .samples
+            .front()
+            .is_some_and(|first| sample.at.since(first.at) > KEPT)
+        {
+            self.samples.pop_front();
         }
     }
 
     /// The latest sample.
     #[must_use]
     pub fn latest(&self) -> Option<Sample> {
-        self.latest
+        self.samples.back().copied()
+    }
+
+    /// The first sample that was asked for at `at` or later. The older it may be, the more replicas
+    /// have reached its position.
+    #[must_use]
+    pub fn first_since(&self, at: Moment) -> Option<Sample> {
+        let index = self.samples.partition_point(|sample| sample.at < at);
+        self.samples.get(index).copied()
     }
 
     /// Age of the latest sample.
     #[must_use]
     pub fn age(&self, now: Moment) -> Option<Duration> {
-        self.latest.map(|sample| now.since(sample.at))
+        self.latest().map(|sample| now.since(sample.at))
     }
 }
 
@@ -63,10 +96,7 @@
         Freshness::Aged(age) => (age, None),
         Freshness::Session(age) => (age, own),
     };
-    let sample = track.latest()?;
-    if sample.at < arrived.earlier(age) {
-        return None;
-    }
+    let sample = track.first_since(arrived.earlier(age))?;
     // A position of a later term covers all of earlier terms that its promotion kept.
     let later = |a: Point, b: Point| {
         if (a.term, a.lsn) >= (b.term, b.lsn) {
