Leave the rotation while a primary can't be used

Cause: in a zone that is cut off entries went on taking callers whose primaries were elsewhere, for as long as the cut lasted.

Ruled out: serving reads there; the age that they accept is over in 2.5 s.

--- a/components/coordinator/src/process.rs
+++ b/components/coordinator/src/process.rs
@@ -38,11 +38,11 @@
 const FAILED: Duration = Duration::from_secs(1);
 /// Interval of heartbeats of the log. With the election timeouts it bounds how long a lost leader
 /// goes unnoticed; a slow disk may take 100 ms for a sync.
-const HEARTBEAT: Duration = Duration::from_millis(80);
+const HEARTBEAT: Duration = Duration::from_millis(60);
 /// Shortest election timeout.
-const ELECTION_MIN: Duration = Duration::from_millis(400);
+const ELECTION_MIN: Duration = Duration::from_millis(300);
 /// Longest election timeout.
-const ELECTION_MAX: Duration = Duration::from_millis(800);
+const ELECTION_MAX: Duration = Duration::from_millis(600);
 /// Bytes of one order; the largest is a plan.
 const MAX_ORDER: usize = MAX_BODY + 1024;
 
--- a/components/coordinator/src/serve.rs
+++ b/components/coordinator/src/serve.rs
@@ -242,16 +242,13 @@
             wire::Subscribe::Open {
                 version, instance, ..
             } => {
-                if version != wire::VERSION || !self.is_current(now) {
-                    let reason = if version == wire::VERSION {
-                        "not_leader"
-                    } else {
-                        "version"
-                    };
-                    self.metrics.common.refusals.add(reason);
+                if version != wire::VERSION {
+                    self.metrics.common.refusals.add("version");
                     self.subscribers.close(id);
                     return Ok(());
                 }
+                // Without a leader as well: an entry that has just started can serve with what was
+                // known last, and goes elsewhere unless a pulse tells that this is current.
                 tracing::info!(entry = instance, "entry subscribed");
                 self.subscribers.introduce(id, instance, &self.registry);
             }
--- a/components/proxy/src/answer.rs
+++ b/components/proxy/src/answer.rs
@@ -159,6 +159,9 @@
         };
         let (session, server) = (conn.session, conn.server);
         self.release(now, key, state != State::Idle);
+        if session.is_none() {
+            self.on_not_run(now, server, code);
+        }
         if let Some(session) = session {
             self.try_again(now, session, server, code);
         }
--- a/components/proxy/src/lost.rs
+++ b/components/proxy/src/lost.rs
@@ -7,7 +7,7 @@
 use crate::clock::Clock;
 use crate::event::{ConnKey, SessionKey};
 use crate::process::Loop;
-use crate::protocol::{Code, Protocol};
+use crate::protocol::{Code, Command, Protocol};
 use crate::refuse::Reason;
 use crate::server::Expect;
 use crate::session::{Kind, Stage, Work};
@@ -17,6 +17,12 @@
 /// unusable.
 const UNANSWERED: Duration = Duration::from_millis(500);
 
+/// Time without a usable primary after which sessions are moved. The load balancer has noticed by
+/// then that this entry is not ready.
+const MOVED: Duration = Duration::from_millis(2500);
+/// Parts in which idle sessions are moved.
+const MOVE_STEPS: usize = 4;
+
 impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
     /// A connection is of no use any more. Whoever uses it is served elsewhere or told the outcome.
     pub(crate) fn on_conn_lost(&mut self, now: Instant, key: ConnKey, cause: &'static str) {
@@ -202,6 +208,62 @@
         }
     }
 
+    /// Asks missed primaries whether they lead. Callers may be elsewhere by now, so that no
+    /// statement would show it.
+    pub(crate) fn probe_missed(&mut self, now: Instant) {
+        for index in 0..self.services.len() {
+            let service = &self.services[index];
+            let Some(primary) = service.primary.filter(|_| service.missed_since.is_some()) else {
+                continue;
+            };
+            let server = &self.servers[primary];
+            let asked = |key: &ConnKey| {
+                let conn = self.conns.get(*key);
+                conn.is_some_and(|conn| conn.session.is_none() && !conn.expected.is_empty())
+            };
+            if server.conns.iter().any(asked) {
+                continue;
+            }
+            if !server.idle.is_empty() {
+                self.probe(now, primary);
+            } else if server.has_room(now) {
+                self.open(now, primary);
+            }
+        }
+    }
+
+    fn probe(&mut self, now: Instant, index: usize) {
+        let Some(key) = self.servers[index].idle.pop() else {
+            return;
+        };
+        let at = self.clock.moment();
+        if let Some(conn) = self.conns.get_mut(key) {
+            let begin = Command::Begin {
+                read_only: false,
+                after: None,
+            };
+            P::command(&mut conn.out, begin);
+            conn.expected.push_back(Expect::Begin { at, writing: true });
+            conn.since = now;
+            self.dirty_conns.push(key);
+        }
+    }
+
+    /// Closes sessions between transactions while a primary is missed for long, so that they come
+    /// back through entries that reach it. They go in steps, as the primary may return.
+    pub(crate) fn move_sessions(&mut self, now: Instant) {
+        if self.stop.is_some() || !self.is_missing(now, MOVED) {
+            return;
+        }
+        let idle = |key: &SessionKey| self.sessions.get(*key).is_some_and(|s| s.is_idle());
+        let idle: Vec<SessionKey> = self.sessions.keys().filter(idle).collect();
+        let step = idle.len().div_ceil(MOVE_STEPS);
+        for key in idle.into_iter().take(step) {
+            self.metrics.common.retries.add("session_moved");
+            self.end_session(key);
+        }
+    }
+
     /// Finds primaries that leave statements unanswered.
     pub(crate) fn find_unusable(&mut self, now: Instant) {
         let mut silent = Vec::new();
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -222,7 +222,7 @@
             Event::Conn(key, event) => self.on_conn(now, key, event),
             Event::Dialed(dial, out) => self.on_dialed(now, dial, out),
             Event::Coordinator(dial, event) => self.on_coordinator(now, dial, event),
-            Event::Http(request) => self.on_request(request),
+            Event::Http(request) => self.on_request(now, request),
             Event::Reload => self.reload(),
             Event::Stop => self.on_stop(now),
         }
@@ -233,6 +233,7 @@
             match due {
                 Timer::Session(key) => self.on_session_due(now, key),
                 Timer::Service(index) => self.due.push(index),
+                Timer::Subscription => self.keep_subscription(now),
                 Timer::Upkeep => {
                     self.timers.add(now + UPKEEP, Timer::Upkeep);
                     self.on_upkeep(now);
@@ -259,6 +260,8 @@
     fn on_upkeep(&mut self, now: Instant) {
         self.close_idle(now);
         self.find_unusable(now);
+        self.probe_missed(now);
+        self.move_sessions(now);
         self.keep_subscription(now);
         let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         self.metrics.sessions.set(gauge(self.sessions.len()));
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -14,6 +14,7 @@
 use crate::event::Event;
 use crate::process::Loop;
 use crate::protocol::Protocol;
+use crate::timer::Timer;
 
 /// Pause before the next coordinator is dialled.
 const RETRY: Duration = Duration::from_millis(100);
@@ -134,8 +135,7 @@
             return;
         }
         let Some(out) = out else {
-            self.subscription.state = State::Down(now + RETRY);
-            return;
+            return self.dial_after(now, RETRY);
         };
         let open = Subscribe::Open {
             version: wire::VERSION,
@@ -159,8 +159,7 @@
             link::Event::Message(message) => message,
             link::Event::Closed(error) => {
                 tracing::warn!(error = %format!("{error:#}"), "coordinator lost");
-                self.subscription.state = State::Down(now);
-                return;
+                return self.dial_after(now, RETRY);
             }
         };
         match message {
@@ -209,7 +208,12 @@
     fn on_unreadable(&mut self, now: Instant, error: &anyhow::Error) {
         tracing::error!(error = %format!("{error:#}"), "message of a coordinator refused");
         self.metrics.common.refusals.add("coordinator");
-        self.subscription.state = State::Down(now + RETRY);
+        self.dial_after(now, RETRY);
+    }
+
+    fn dial_after(&mut self, now: Instant, pause: Duration) {
+        self.subscription.state = State::Down(now + pause);
+        self.timers.add(now + pause, Timer::Subscription);
     }
 
     /// Tells the coordinators which primaries can't be used, when that has changed.
--- a/components/proxy/src/timer.rs
+++ b/components/proxy/src/timer.rs
@@ -13,7 +13,9 @@
     Session(SessionKey),
     /// Statements that wait for a service.
     Service(usize),
-    /// Idle connections, complaints, and the stream to a coordinator.
+    /// The stream to a coordinator.
+    Subscription,
+    /// Idle connections, unusable primaries, and the stream to a coordinator.
     Upkeep,
 }
 
