--- a/components/coordinator/src/log.rs
+++ b/components/coordinator/src/log.rs
@@ -1,6 +1,6 @@
 //! The replicated log: writes, commits, roles, and what waits for them.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
 use cluster::{convert, store};
@@ -15,7 +15,10 @@
 use crate::process::{Loop, Proposal, Waiter};
 
 /// Applied entries after which a snapshot is taken.
-const SNAPSHOT_EVERY: u64 = 500;
+const SNAPSHOT_EVERY: u64 = 100;
+/// Time without a further entry after which a snapshot is taken too. Of the log behind it an
+/// instance that starts can't tell what is committed, and entries that start with it wait.
+const QUIET: Duration = Duration::from_millis(500);
 
 impl<A: Api, F: Fleet> Loop<A, F> {
     pub(crate) fn on_disk(&mut self, now: Instant, done: store::Done<Wal<Native>>) -> Result<()> {
@@ -119,6 +122,7 @@
     fn on_apply(&mut self, now: Instant, entry: Entry) -> Result<()> {
         let index = entry.position.index;
         self.applied = index;
+        self.applied_at = now;
         match &entry.payload {
             // The own no-op is applied after every order of earlier epochs.
             Payload::Noop => {
@@ -182,6 +186,14 @@
         Ok(())
     }
 
+    /// Takes a snapshot once the log has come to rest.
+    pub(crate) fn compact_if_quiet(&mut self, now: Instant) -> Result<()> {
+        if self.applied > self.compacted && now >= self.applied_at + QUIET {
+            self.compact(now)?;
+        }
+        Ok(())
+    }
+
     fn compact(&mut self, now: Instant) -> Result<()> {
         self.compacted = self.applied;
         let mut bytes = Vec::new();
--- a/components/coordinator/src/membership.rs
+++ b/components/coordinator/src/membership.rs
@@ -114,6 +114,7 @@
         let intro = self.introduction(now);
         self.peers.send_all(&convert::introduction(&intro));
         self.found(now)?;
+        self.compact_if_quiet(now)?;
         self.report(now);
         self.pulse(now);
         if self.lead.is_some() {
--- a/components/coordinator/src/process.rs
+++ b/components/coordinator/src/process.rs
@@ -99,6 +99,8 @@
     pub(crate) next_read: u64,
     pub(crate) metrics: Set,
     pub(crate) applied: u64,
+    /// When the last entry was applied.
+    pub(crate) applied_at: Instant,
     pub(crate) compacted: u64,
     pub(crate) upkeep_at: Instant,
     /// When a write failed. The log can't be trusted beyond it, and a new start reads what is there.
@@ -219,6 +221,7 @@
             next_read: 0,
             metrics: Set::new(),
             applied,
+            applied_at: now,
             compacted: applied,
             upkeep_at: now,
             failed_at: None,
--- a/components/link/src/stream.rs
+++ b/components/link/src/stream.rs
@@ -18,7 +18,7 @@
 use crate::{frame, socket};
 
 /// Time for the connection and the HTTP/2 handshake of a new stream.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+const DIAL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a peer that acknowledges no bytes and no keep-alive probe counts as gone.
 const SILENCE: Duration = Duration::from_secs(2);
 /// Receive window of a stream; holds the largest message, so that a sender is not stopped within it.
