Step down a primary that an unfinished change left leading

Cause: a leader lost between its choice and the promotion leaves a choice without effect; its successor paused the old primary, which a pause does not stop, and raised the term for ever. Found by a test.

Adds tests of the roster, the registry and changes of primary.

--- a/components/registry/src/change.rs
+++ b/components/registry/src/change.rs
@@ -5,7 +5,7 @@
 //! and only then chooses. Nothing is assumed of orders without an answer: each may run seconds
 //! later, and carries a term or a token that makes it harmless then.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use types::Point;
@@ -137,7 +137,10 @@
     rows: BTreeMap<String, Status>,
     /// Latest command to each server.
     asked: BTreeMap<String, Instant>,
-    /// The old primary leads no longer by its own word.
+    /// Servers other than the registry's primary that said they lead: the promotion of an earlier
+    /// choice was not carried out.
+    leading: BTreeSet<String>,
+    /// The registry's primary leads no longer by its own word.
     stepped_down: Option<Status>,
 }
 
@@ -344,6 +347,7 @@
             term: term.map(|term| term + 1),
             rows: BTreeMap::new(),
             asked: BTreeMap::new(),
+            leading: BTreeSet::new(),
             stepped_down: None,
         }
     }
@@ -363,7 +367,9 @@
             }
             let command = match self.term {
                 None => Command::Status,
-                Some(term) if is_primary => Command::StepDown(term),
+                Some(term) if is_primary || self.leading.contains(&server.id) => {
+                    Command::StepDown(term)
+                }
                 Some(term) => Command::Pause(term),
             };
             self.asked.insert(server.id.clone(), now);
@@ -380,6 +386,18 @@
         match (command, self.term) {
             (Command::Status, None) => self.raise(newest + 1),
             (Command::Status, Some(term)) if term <= status.term => self.raise(newest + 1),
+            (Command::Pause(asked), Some(term))
+                if asked == term && status.role == Role::Primary && status.term < term =>
+            {
+                self.leading.insert(id.to_owned());
+                self.asked.remove(id);
+            }
+            // Still to be paused, as a replica.
+            (Command::StepDown(asked), Some(term))
+                if asked == term && status.role == Role::Replica && self.leading.remove(id) =>
+            {
+                self.asked.remove(id);
+            }
             (Command::Pause(asked), Some(term)) if asked == term => {
                 if status.paused >= term && status.term < term {
                     self.rows.insert(id.to_owned(), status);
--- /dev/null
+++ b/components/registry/tests/change.rs
@@ -0,0 +1,394 @@
+//! Changes of primary.
+
+use std::time::{Duration, Instant};
+
+use registry::change::{Action, Command, Promotion, Signals, Status, Verdict};
+use registry::{Life, Machine, Order, Registry, Server};
+use rstest::rstest;
+use types::target::Role;
+use types::{Lsn, Name, Point, Term};
+
+const SERVICE: &str = "orders";
+
+/// A service with a primary and two replicas, its machine, and a clock.
+struct World {
+    registry: Registry,
+    machine: Machine,
+    now: Instant,
+    verdict: Verdict,
+    /// Silence of all servers.
+    silence: Duration,
+    actions: Vec<Action>,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world = Self {
+            registry: Registry::default(),
+            machine: Machine::new(SERVICE),
+            now: Instant::now(),
+            verdict: Verdict::Serving,
+            silence: Duration::ZERO,
+            actions: Vec::new(),
+        };
+        world.register("p", Role::Primary, false);
+        world.register("r1", Role::Replica, false);
+        world.register("r2", Role::Replica, false);
+        world
+    }
+
+    fn register(&mut self, id: &str, role: Role, draining: bool) {
+        let port = 1000 + u16::from(*id.as_bytes().last().unwrap());
+        let sequence = self.registry.revision() + 1;
+        let server = Server {
+            id: id.to_owned(),
+            service: SERVICE.to_owned(),
+            address: ([10, 0, 0, 1], port).into(),
+            domain: Name::try_from("a").unwrap(),
+            slots: 5,
+            draining,
+            role,
+            life: Life { born: 1, sequence },
+        };
+        self.apply(&Order::Register(server));
+    }
+
+    fn apply(&mut self, order: &Order) {
+        self.registry.apply(self.registry.revision() + 1, order);
+    }
+
+    fn step(&mut self) {
+        let signals = Signals {
+            verdict: self.verdict,
+            term: Some(3),
+        };
+        let silence = self.silence;
+        self.machine.step(
+            self.now,
+            &self.registry,
+            signals,
+            |_| silence,
+            &mut self.actions,
+        );
+    }
+
+    fn wait(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+        self.step();
+    }
+
+    /// A replica confirms the pause under a term and tells what it has received.
+    fn paused(&mut self, id: &str, term: u64, received: (u64, u64)) {
+        let status = Status {
+            role: Role::Replica,
+            term: term - 1,
+            received: Point {
+                term: Term(received.0),
+                lsn: Lsn(received.1),
+            },
+            paused: term,
+        };
+        let command = Command::Pause(term);
+        self.machine
+            .on_answer(id, command, Some(status), &mut self.actions);
+        self.step();
+    }
+
+    fn chosen(&self) -> Option<&str> {
+        self.actions.iter().rev().find_map(|action| match action {
+            Action::Choose { id } => Some(id.as_str()),
+            _ => None,
+        })
+    }
+
+    fn promoted(&self) -> Option<(&str, u64)> {
+        self.actions.iter().rev().find_map(|action| match action {
+            Action::Promote { id, token } => Some((id.as_str(), *token)),
+            _ => None,
+        })
+    }
+
+    /// Commits the choice that was made last.
+    fn commit_choice(&mut self) {
+        let id = self.chosen().unwrap().to_owned();
+        let service = SERVICE.to_owned();
+        self.apply(&Order::Lead { service, id });
+        self.step();
+    }
+
+    fn fail(&mut self) {
+        self.verdict = Verdict::Failed;
+        self.step();
+        self.wait(500);
+    }
+}
+
+#[test]
+fn leaves_a_serving_primary_alone() {
+    let mut world = World::new();
+    world.step();
+    world.wait(5000);
+    assert_eq!(world.actions, []);
+}
+
+// A commit that one replica has received is acknowledged: any other replica would lose it.
+#[rstest]
+#[case::first((3, 90), (3, 80), "r1")]
+#[case::second((3, 80), (3, 81), "r2")]
+#[case::later_term((2, 500), (3, 1), "r2")]
+fn promotes_the_most_advanced_replica(
+    #[case] first: (u64, u64),
+    #[case] second: (u64, u64),
+    #[case] expected: &str,
+) {
+    let mut world = World::new();
+    world.fail();
+    world.paused("r1", 4, first);
+    assert_eq!(world.chosen(), None);
+    world.paused("r2", 4, second);
+    assert_eq!(world.chosen(), Some(expected));
+}
+
+// The replica that does not answer may be the only one with the last commit.
+#[test]
+fn waits_for_a_replica_out_of_reach() {
+    let mut world = World::new();
+    world.fail();
+    world.paused("r1", 4, (3, 90));
+    world.wait(6000);
+    assert_eq!(world.chosen(), None);
+    world.silence = Duration::from_secs(13);
+    world.wait(100);
+    assert_eq!(world.chosen(), Some("r1"));
+}
+
+// A leaving replica takes its log with it; of equals one that stays is chosen.
+#[test]
+fn prefers_a_replica_that_stays() {
+    let mut world = World::new();
+    world.register("r1", Role::Replica, true);
+    world.fail();
+    world.paused("r1", 4, (3, 90));
+    world.paused("r2", 4, (3, 90));
+    assert_eq!(world.chosen(), Some("r2"));
+}
+
+// The most advanced log counts more than that its server stays.
+#[test]
+fn promotes_a_leaving_replica_that_alone_has_a_commit() {
+    let mut world = World::new();
+    world.register("r1", Role::Replica, true);
+    world.fail();
+    world.paused("r1", 4, (3, 91));
+    world.paused("r2", 4, (3, 90));
+    assert_eq!(world.chosen(), Some("r1"));
+}
+
+// An answer to a pause that the server ignored, as its term is newer, would count as stopped.
+#[test]
+fn raises_the_term_over_a_newer_one() {
+    let mut world = World::new();
+    world.fail();
+    world.paused("r1", 4, (3, 90));
+    let newer = Status {
+        role: Role::Replica,
+        term: 6,
+        received: Point::default(),
+        paused: 0,
+    };
+    world
+        .machine
+        .on_answer("r2", Command::Pause(4), Some(newer), &mut world.actions);
+    world.actions.clear();
+    world.step();
+    let pause = |id: &str| Action::Command {
+        id: id.to_owned(),
+        command: Command::Pause(7),
+    };
+    assert!(world.actions.contains(&pause("r1")) && world.actions.contains(&pause("r2")));
+    world.paused("r2", 7, (6, 1));
+    assert_eq!(world.chosen(), None, "the first pause counts no more");
+}
+
+#[test]
+fn confirms_once_the_server_leads() {
+    let mut world = World::new();
+    world.fail();
+    world.paused("r1", 4, (3, 90));
+    world.paused("r2", 4, (3, 90));
+    world.commit_choice();
+    let token = world.registry.revision();
+    let (id, called) = world.promoted().unwrap();
+    assert_eq!(called, token);
+    let id = id.to_owned();
+    let leads = Status {
+        role: Role::Primary,
+        term: 4,
+        received: Point::default(),
+        paused: 0,
+    };
+    let confirm = Action::Confirm { token };
+    let verify = Command::Verify;
+    world
+        .machine
+        .on_answer(&id, verify, Some(leads), &mut world.actions);
+    assert!(!world.actions.contains(&confirm), "not accepted yet");
+    world
+        .machine
+        .on_promotion(world.now, token, Promotion::Accepted);
+    world
+        .machine
+        .on_answer(&id, verify, Some(leads), &mut world.actions);
+    assert!(world.actions.contains(&confirm));
+    let service = SERVICE.to_owned();
+    world.apply(&Order::Confirm { service, token });
+    world.verdict = Verdict::Serving;
+    world.step();
+    assert!(!world.machine.is_active());
+}
+
+// What was held against the new primary before it led must not replace it at once: between the
+// proof that it leads and the commit of that, the machine is still at this change.
+#[test]
+fn keeps_a_new_primary_until_its_confirmation() {
+    let mut world = World::new();
+    world.fail();
+    world.paused("r1", 4, (3, 90));
+    world.paused("r2", 4, (3, 90));
+    world.commit_choice();
+    let token = world.registry.revision();
+    let id = world.promoted().unwrap().0.to_owned();
+    world
+        .machine
+        .on_promotion(world.now, token, Promotion::Accepted);
+    let leads = Status {
+        role: Role::Primary,
+        term: 4,
+        received: Point::default(),
+        paused: 0,
+    };
+    world
+        .machine
+        .on_answer(&id, Command::Verify, Some(leads), &mut world.actions);
+    world.actions.clear();
+    world.wait(50);
+    assert_eq!(world.machine.phase(), "promote");
+}
+
+// No answer does not mean that the promotion will not run: it is repeated as it was.
+#[test]
+fn repeats_an_unanswered_promotion_with_its_token() {
+    let mut world = World::new();
+    world.fail();
+    world.paused("r1", 4, (3, 90));
+    world.paused("r2", 4, (3, 90));
+    world.commit_choice();
+    let first = world
+        .promoted()
+        .map(|(id, token)| (id.to_owned(), token))
+        .unwrap();
+    world
+        .machine
+        .on_promotion(world.now, first.1, Promotion::Unknown);
+    world.actions.clear();
+    world.wait(700);
+    let again = world.promoted().map(|(id, token)| (id.to_owned(), token));
+    assert_eq!(again, Some(first));
+}
+
+// A refused promotion, or one without effect, is decided anew from what the replicas have then.
+#[rstest]
+#[case::refused(true)]
+#[case::without_effect(false)]
+fn gathers_anew(#[case] refused: bool) {
+    let mut world = World::new();
+    world.fail();
+    world.paused("r1", 4, (3, 90));
+    world.paused("r2", 4, (3, 90));
+    world.commit_choice();
+    let token = world.registry.revision();
+    if refused {
+        world
+            .machine
+            .on_promotion(world.now, token, Promotion::Refused);
+        world.step();
+    } else {
+        world.wait(4100);
+    }
+    assert_eq!(world.machine.phase(), "gather");
+}
+
+// A leader that was lost in the middle of a change leaves a choice without confirmation. Its token
+// belongs to it; the next leader chooses under a new one.
+#[test]
+fn takes_up_an_unconfirmed_choice() {
+    let mut world = World::new();
+    let lead = Order::Lead {
+        service: SERVICE.to_owned(),
+        id: "r1".to_owned(),
+    };
+    world.apply(&lead);
+    let old = world.registry.revision();
+    world.step();
+    assert_eq!(world.machine.phase(), "gather");
+    world.wait(500);
+    world.paused("p", 4, (3, 90));
+    world.paused("r2", 4, (3, 90));
+    world.commit_choice();
+    assert!(world.promoted().unwrap().1 > old);
+}
+
+#[rstest]
+#[case::with_a_successor(false, true)]
+#[case::all_leave(true, false)]
+fn moves_off_a_draining_primary(#[case] all_drain: bool, #[case] expected: bool) {
+    let mut world = World::new();
+    world.register("p", Role::Primary, true);
+    if all_drain {
+        world.register("r1", Role::Replica, true);
+        world.register("r2", Role::Replica, true);
+    }
+    world.step();
+    assert_eq!(world.machine.is_active(), expected);
+}
+
+// The promotion of an unconfirmed choice may never have been asked for: the old primary still leads
+// then, and a pause is nothing to it. It has to step down first.
+#[test]
+fn steps_down_a_primary_that_is_not_the_chosen_one() {
+    let mut world = World::new();
+    let lead = Order::Lead {
+        service: SERVICE.to_owned(),
+        id: "r1".to_owned(),
+    };
+    world.apply(&lead);
+    world.step();
+    world.wait(500);
+    let row = |role, paused| Status {
+        role,
+        term: 3,
+        received: Point {
+            term: Term(3),
+            lsn: Lsn(95),
+        },
+        paused,
+    };
+    let answer = |world: &mut World, command, status| {
+        world.actions.clear();
+        world
+            .machine
+            .on_answer("p", command, Some(status), &mut world.actions);
+        world.step();
+    };
+    let command = |command| Action::Command {
+        id: "p".to_owned(),
+        command,
+    };
+    answer(&mut world, Command::Pause(4), row(Role::Primary, 0));
+    assert!(world.actions.contains(&command(Command::StepDown(4))));
+    answer(&mut world, Command::StepDown(4), row(Role::Replica, 0));
+    assert!(world.actions.contains(&command(Command::Pause(4))));
+    answer(&mut world, Command::Pause(4), row(Role::Replica, 4));
+    world.paused("r2", 4, (3, 90));
+    assert_eq!(world.chosen(), Some("p"));
+}
