--- a/components/proxy/src/answer.rs
+++ b/components/proxy/src/answer.rs
@@ -91,7 +91,8 @@
             self.on_conn_lost(now, key, "unexpected_answer");
             return false;
         };
-        self.servers[conn.server].on_answer(now, point);
+        let index = conn.server;
+        self.observe(now, index, point);
         let error = match ended {
             Some(Ended::Error(code)) => Some(code),
             Some(Ended::Done) => None,
@@ -101,7 +102,7 @@
         };
         match (expect, error) {
             (Expect::Startup, _) => {
-                let server = &mut self.servers[conn.server];
+                let server = &mut self.servers[index];
                 server.opening = server.opening.saturating_sub(1);
                 self.release(now, key, false);
             }
@@ -127,6 +128,15 @@
         self.conns.contains_key(key)
     }
 
+    /// Takes note of a server's answer and of how far its log is behind.
+    fn observe(&mut self, now: Instant, index: usize, point: Option<Point>) {
+        let moment = self.clock.moment();
+        let server = &mut self.servers[index];
+        let track = &self.services[server.service].track;
+        let lag = point.and_then(|point| track.lag(point, moment));
+        server.on_answer(now, lag);
+    }
+
     /// A server has proved that it led after `at`.
     fn on_leading(&mut self, key: ConnKey, at: Moment, point: Option<Point>) {
         let Some(conn) = self.conns.get(key) else {
@@ -194,12 +204,7 @@
     /// Takes note of why a server has not run a statement. Returns a pause before it may be asked
     /// again; another server may be asked at once.
     fn on_not_run(&mut self, now: Instant, index: usize, code: Code) -> Duration {
-        let server = &mut self.servers[index];
         match code {
-            Code::Behind => {
-                server.on_behind(now);
-                Duration::ZERO
-            }
             Code::ReadOnly => {
                 self.miss(now, index);
                 NOT_LEADING
@@ -228,7 +233,7 @@
             return self.release(now, key, state != State::Idle);
         };
         let took = now.saturating_duration_since(conn.since);
-        self.servers[index].on_served(took);
+        self.servers[index].on_served(now, took);
         let Some(session) = self.sessions.get_mut(session_key) else {
             return self.release(now, key, state != State::Idle);
         };
@@ -264,7 +269,7 @@
             kind => open.is_none() && kind.may_change(),
         };
         if error.is_none() && committed {
-            session.point = point.or(session.point);
+            session.own = point.map(|point| Sample { point, at }).or(session.own);
         }
         let done = work.kind == Kind::Commit;
         let mut kept = false;
--- a/components/proxy/src/choose.rs
+++ b/components/proxy/src/choose.rs
@@ -2,16 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use types::Point;
-
 /// Added to the cost of a server in another failure domain: the way there and its price.
 const REMOTE: Duration = Duration::from_millis(4);
 /// Factor on the cost of the primary, which alone can serve writes.
 const PRIMARY: f64 = 1.5;
 /// Added to the cost of a server without a free connection: one has to be opened first.
 const OPENING: Duration = Duration::from_millis(15);
-/// Added to the cost of a replica that was last seen before the position.
-const BEHIND: Duration = Duration::from_millis(10);
 
 /// A server as a candidate.
 #[derive(Clone, Copy, Debug)]
@@ -34,17 +30,15 @@
     pub latency: Duration,
     /// Not before this, after failures.
     pub down_until: Option<Instant>,
-    /// Not before this for reads that need a position, after it lacked one.
-    pub behind_until: Option<Instant>,
-    /// Latest position that it showed.
-    pub point: Option<Point>,
+    /// How far its log is behind; none if that is not known.
+    pub lag: Option<Duration>,
     /// This request was tried there already.
     pub tried: bool,
 }
 
 impl Candidate {
     /// Expected cost of a read, in seconds.
-    fn cost(&self, after: Point) -> f64 {
+    fn cost(&self) -> f64 {
         let busy = 1.0 + self.running as f64;
         let mut cost = self.latency.as_secs_f64() * busy;
         if self.primary {
@@ -56,10 +50,6 @@
         if !self.idle {
             cost += OPENING.as_secs_f64();
         }
-        let seen = self.point.map(|point| (point.term, point.lsn));
-        if !self.primary && seen.is_none_or(|seen| seen < (after.term, after.lsn)) {
-            cost += BEHIND.as_secs_f64();
-        }
         cost
     }
 
@@ -67,23 +57,28 @@
         self.down_until.is_none_or(|until| until <= now)
     }
 
-    fn is_level(&self, now: Instant) -> bool {
-        self.behind_until.is_none_or(|until| until <= now)
+    /// Whether its log should hold a position that the primary had `age` ago.
+    fn holds(&self, age: Duration) -> bool {
+        self.lag.is_none_or(|lag| lag <= age)
     }
 }
 
-/// The cheapest server that may serve a read after a position; none if all have to be waited for.
+/// The cheapest server that may serve a read of a position that the primary had `age` ago; none if
+/// all have to be waited for.
 ///
-/// A server that was tried before is used again only if no other is left.
+/// A server that was tried before, or that seems to lack the position, is used only if no other is
+/// left.
 #[must_use]
-pub fn choose(candidates: &[Candidate], after: Point, now: Instant) -> Option<usize> {
-    let cheapest = |again: bool| {
+pub fn choose(candidates: &[Candidate], age: Duration, now: Instant) -> Option<usize> {
+    let cheapest = |again: bool, behind: bool| {
         let fitting = candidates.iter().filter(|it| {
-            let usable = !it.draining && (it.idle || it.room);
-            usable && it.is_up(now) && it.is_level(now) && (again || !it.tried)
+            let usable = !it.draining && (it.idle || it.room) && it.is_up(now);
+            usable && (again || !it.tried) && (behind || it.holds(age))
         });
-        let cheapest = fitting.min_by(|a, b| a.cost(after).total_cmp(&b.cost(after)));
+        let cheapest = fitting.min_by(|a, b| a.cost().total_cmp(&b.cost()));
         cheapest.map(|it| it.index)
     };
-    cheapest(false).or_else(|| cheapest(true))
+    cheapest(false, false)
+        .or_else(|| cheapest(true, false))
+        .or_else(|| cheapest(false, true))
 }
--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -3,12 +3,11 @@
 use std::time::{Duration, Instant};
 
 use registry::plan::{Format, Freshness};
-use types::Point;
 
 use crate::choose::{Candidate, choose};
 use crate::clock::Clock;
 use crate::event::{ConnKey, SessionKey};
-use crate::freshness;
+use crate::freshness::{self, Sample};
 use crate::process::Loop;
 use crate::protocol::{Access, Protocol};
 use crate::refuse::Reason;
@@ -32,7 +31,7 @@
     /// On the primary, within a transaction that only a primary begins.
     Checked,
     /// On any server whose log holds the position.
-    Fresh(Point),
+    Fresh(Sample),
 }
 
 impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
@@ -61,12 +60,13 @@
             }
             Place::Fresh(after) => {
                 let candidates = self.candidates(now, service, work);
-                let chosen = choose(&candidates, after, now);
-                let chosen = chosen.or_else(|| self.borrow(now, service, key, after));
+                let age = self.clock.moment().since(after.at);
+                let chosen = choose(&candidates, age, now);
+                let chosen = chosen.or_else(|| self.borrow(now, service, key, age));
                 let Some(index) = chosen else {
                     return false;
                 };
-                (index, Some(after))
+                (index, Some(after.point))
             }
         };
         let Some(conn) = self.take_conn(key, index) else {
@@ -91,7 +91,7 @@
         let track = &self.services[work.route.service].track;
         let fresh = |arrived| {
             let route = work.route.freshness;
-            freshness::needed(route, track, session.point, arrived)
+            freshness::needed(route, track, session.own, arrived)
         };
         Some(match &session.transaction {
             Some(open) => match open.conn {
@@ -131,13 +131,13 @@
         now: Instant,
         service: usize,
         key: SessionKey,
-        after: Point,
+        age: Duration,
     ) -> Option<usize> {
         for index in &self.services[service].servers {
             self.servers[*index].borrow(now);
         }
         let work = self.sessions.get(key)?.work.as_ref()?;
-        choose(&self.candidates(now, service, work), after, now)
+        choose(&self.candidates(now, service, work), age, now)
     }
 
     /// Takes an idle connection, one with the session's values if there is any.
--- a/components/proxy/src/freshness.rs
+++ b/components/proxy/src/freshness.rs
@@ -73,6 +73,24 @@
         self.samples.get(index).copied()
     }
 
+    /// How far a log that ends at `point` is behind the primary's; none if the position is not of
+    /// the present term. A log at or beyond the latest sample is not behind.
+    #[must_use]
+    pub fn lag(&self, point: Point, now: Moment) -> Option<Duration> {
+        let latest = self.latest()?;
+        if latest.point.term != point.term {
+            return None;
+        }
+        let index = self
+            .samples
+            .partition_point(|sample| sample.point.lsn <= point.lsn);
+        match self.samples.get(index) {
+            None => Some(Duration::ZERO),
+            // The first sample that it lacks.
+            Some(lacking) => Some(now.since(lacking.at)),
+        }
+    }
+
     /// Age of the latest sample.
     #[must_use]
     pub fn age(&self, now: Moment) -> Option<Duration> {
@@ -80,7 +98,7 @@
     }
 }
 
-/// Position that a read has to see if it may run on a replica; none if only the primary will do.
+/// What a read has to see if it may run on a replica; none if only the primary will do.
 ///
 /// `arrived` is when the read, or the begin of its transaction, was received, which is not before
 /// its caller sent it. `own` is the session's last commit.
@@ -88,9 +106,9 @@
 pub fn needed(
     freshness: Freshness,
     track: &Track,
-    own: Option<Point>,
+    own: Option<Sample>,
     arrived: Moment,
-) -> Option<Point> {
+) -> Option<Sample> {
     let (age, own) = match freshness {
         Freshness::Latest => return None,
         Freshness::Aged(age) => (age, None),
@@ -98,12 +116,9 @@
     };
     let sample = track.first_since(arrived.earlier(age))?;
     // A position of a later term covers all of earlier terms that its promotion kept.
-    let later = |a: Point, b: Point| {
-        if (a.term, a.lsn) >= (b.term, b.lsn) {
-            a
-        } else {
-            b
-        }
-    };
-    Some(own.map_or(sample.point, |own| later(own, sample.point)))
+    let order = |sample: &Sample| (sample.point.term, sample.point.lsn);
+    Some(match own {
+        Some(own) if order(&own) > order(&sample) => own,
+        _ => sample,
+    })
 }
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -4,28 +4,29 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use ahash::HashSet;
-use bytes::BytesMut;
-use link::io;
-use registry::Life;
-use types::Point;
-
 use crate::choose::Candidate;
 use crate::clock::Moment;
 use crate::event::{ConnKey, SessionKey};
 use crate::freshness::Track;
 use crate::protocol::Code;
+use ahash::HashSet;
+use bytes::BytesMut;
+use link::io;
+use registry::Life;
 
 /// Latency that is assumed of a server before its first answer.
-const FIRST_LATENCY: Duration = Duration::from_millis(20);
+const FIRST_LATENCY: Duration = Duration::from_millis(5);
 /// Weight of the latest answer in the smoothed latency.
 const SMOOTHING: f64 = 0.2;
 /// First pause after a failure; doubled by each further one.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failures.
 const MAX_PAUSE: Duration = Duration::from_millis(1600);
-/// How long a replica that lacked a position is passed over.
-const BEHIND: Duration = Duration::from_millis(150);
+/// How long the lag that a server showed is assumed to last.
+const LAGGING: Duration = Duration::from_millis(300);
+/// Time without a served statement in which a smoothed latency halves: a server that was slow once
+/// would never be tried again otherwise.
+const HALF_LIFE: Duration = Duration::from_millis(500);
 /// How long no connection is opened after the server had none to give.
 const FULL: Duration = Duration::from_millis(300);
 
@@ -145,10 +146,11 @@
     latency: Duration,
     pause: Option<Duration>,
     down_until: Option<Instant>,
-    behind_until: Option<Instant>,
     full_until: Option<Instant>,
-    /// Latest position that it showed.
-    pub point: Option<Point>,
+    /// How far its log was behind when it answered last.
+    lag: Option<Duration>,
+    /// When it served a statement last.
+    served_at: Option<Instant>,
     /// Last answer of any kind.
     pub answered_at: Option<Instant>,
 }
@@ -175,9 +177,9 @@
             latency: FIRST_LATENCY,
             pause: None,
             down_until: None,
-            behind_until: None,
             full_until: None,
-            point: None,
+            lag: None,
+            served_at: None,
             answered_at: None,
         }
     }
@@ -202,18 +204,17 @@
     }
 
     /// A statement was answered after `took`.
-    pub fn on_served(&mut self, took: Duration) {
+    pub fn on_served(&mut self, now: Instant, took: Duration) {
+        self.served_at = Some(now);
         self.latency = self.latency.mul_f64(1.0 - SMOOTHING) + took.mul_f64(SMOOTHING);
     }
 
     /// It answered something.
-    pub fn on_answer(&mut self, now: Instant, point: Option<Point>) {
+    pub fn on_answer(&mut self, now: Instant, lag: Option<Duration>) {
         self.answered_at = Some(now);
         self.pause = None;
         self.down_until = None;
-        if point.is_some() {
-            self.point = point;
-        }
+        self.lag = lag;
     }
 
     /// It could not be reached, or left a statement unanswered.
@@ -229,11 +230,6 @@
         self.down_until = self.down_until.map(|until| until.min(now));
     }
 
-    /// It lacked a position.
-    pub fn on_behind(&mut self, now: Instant) {
-        self.behind_until = Some(now + BEHIND);
-    }
-
     /// It had no connection to give: nothing is borrowed any more.
     pub fn on_full(&mut self, now: Instant) {
         self.full_until = Some(now + FULL);
@@ -258,6 +254,9 @@
     /// As a candidate for a read.
     #[must_use]
     pub fn candidate(&self, index: usize, primary: bool, tried: bool, now: Instant) -> Candidate {
+        let recent = self.answered_at.is_some_and(|at| now < at + LAGGING);
+        let rest = self.served_at.map(|at| now.saturating_duration_since(at));
+        let half_lives = rest.map_or(0.0, |rest| rest.div_duration_f64(HALF_LIFE));
         Candidate {
             index,
             draining: self.draining_since.is_some() || !self.listed,
@@ -266,10 +265,9 @@
             idle: !self.idle.is_empty(),
             room: self.has_room(now),
             running: self.running,
-            latency: self.latency,
+            latency: self.latency.mul_f64(0.5_f64.powf(half_lives)),
             down_until: self.down_until,
-            behind_until: self.behind_until,
-            point: self.point,
+            lag: self.lag.filter(|_| recent),
             tried,
         }
     }
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -11,6 +11,7 @@
 
 use crate::clock::Moment;
 use crate::event::ConnKey;
+use crate::freshness::Sample;
 use crate::protocol::{Access, Body, Code, State};
 
 /// Values that a session may set.
@@ -185,8 +186,8 @@
     pub values: BTreeMap<String, String>,
     /// Prepared names with the numbers of their shapes.
     pub prepared: HashMap<String, u32>,
-    /// Position of its last commit.
-    pub point: Option<Point>,
+    /// Its last commit.
+    pub own: Option<Sample>,
     /// The open transaction.
     pub transaction: Option<Transaction>,
     /// The statement under way.
@@ -206,7 +207,7 @@
             database: None,
             values: BTreeMap::new(),
             prepared: HashMap::default(),
-            point: None,
+            own: None,
             transaction: None,
             work: None,
             closing: false,
