Wait for the primary rather than try replicas known to lag

Cause: with the primary's connections in use, reads tried replicas whose lag was known to exceed what they accept, and lost their time there.

--- a/components/proxy/src/choose.rs
+++ b/components/proxy/src/choose.rs
@@ -66,19 +66,17 @@
 /// The cheapest server that may serve a read of a position that the primary had `age` ago; none if
 /// all have to be waited for.
 ///
-/// A server that was tried before, or that seems to lack the position, is used only if no other is
-/// left.
+/// A server that seems to lack the position is waited for by nobody, and one that was tried before
+/// is used only if no other is left.
 #[must_use]
 pub fn choose(candidates: &[Candidate], age: Duration, now: Instant) -> Option<usize> {
-    let cheapest = |again: bool, behind: bool| {
+    let cheapest = |again: bool| {
         let fitting = candidates.iter().filter(|it| {
             let usable = !it.draining && (it.idle || it.room) && it.is_up(now);
-            usable && (again || !it.tried) && (behind || it.holds(age))
+            usable && it.holds(age) && (again || !it.tried)
         });
         let cheapest = fitting.min_by(|a, b| a.cost().total_cmp(&b.cost()));
         cheapest.map(|it| it.index)
     };
-    cheapest(false, false)
-        .or_else(|| cheapest(true, false))
-        .or_else(|| cheapest(false, true))
+    cheapest(false).or_else(|| cheapest(true))
 }
