Open connections for their use where entries outnumber them

Cause: with 80 entries before servers of 53 connections each, idle ones kept others from being opened; statements were refused late for want of one, and in an outage held although their primary would not return soon.

Ruled out: slots and processor time, which were not in use.

--- a/components/proxy/src/connection.rs
+++ b/components/proxy/src/connection.rs
@@ -25,7 +25,7 @@
 /// How long a connection of the share stays idle, but for one that is kept.
 const IDLE: Duration = Duration::from_secs(10);
 /// How long a borrowed connection stays idle.
-const BORROWED_IDLE: Duration = Duration::from_millis(500);
+const BORROWED_IDLE: Duration = Duration::from_millis(300);
 /// Time after which an opened connection has to have answered.
 const STARTUP: Duration = Duration::from_millis(1500);
 
@@ -281,8 +281,11 @@
     pub(crate) fn close_idle(&mut self, now: Instant) {
         let mut surplus = Vec::new();
         for server in &self.servers {
-            let borrowed = server.conns.len().saturating_sub(server.share);
-            let last = server.idle.len().saturating_sub(1);
+            let mut borrowed = server.conns.len().saturating_sub(server.share);
+            let mut last = server.idle.len().saturating_sub(1);
+            if server.is_crowded() {
+                (borrowed, last) = (server.idle.len(), server.idle.len());
+            }
             // The ones that were idle longest come first.
             for (position, key) in server.idle.iter().take(last).enumerate() {
                 let limit = if position < borrowed {
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -166,7 +166,7 @@
     fn open_first(&mut self, now: Instant) {
         for index in 0..self.servers.len() {
             let server = &self.servers[index];
-            let wanted = server.listed && server.draining_since.is_none();
+            let wanted = server.listed && server.draining_since.is_none() && !server.is_crowded();
             if wanted && server.conns.is_empty() && server.has_room(now) {
                 self.open(now, index);
             }
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -28,7 +28,7 @@
 /// would never be tried again otherwise.
 const HALF_LIFE: Duration = Duration::from_millis(500);
 /// How long no connection is opened after the server had none to give.
-const FULL: Duration = Duration::from_millis(300);
+const FULL: Duration = Duration::from_millis(100);
 
 /// What an answer in the making belongs to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -236,6 +236,13 @@
         self.borrow = 0;
     }
 
+    /// Whether entries are so many that they can't all keep a connection: each opens one for its
+    /// use and closes it soon after.
+    #[must_use]
+    pub fn is_crowded(&self) -> bool {
+        self.share < 2
+    }
+
     /// Sets this entry's equal share, of all that are shared.
     pub fn set_share(&mut self, share: usize, shared: usize) {
         (self.share, self.shared) = (share, shared);
--- a/components/proxy/src/settle.rs
+++ b/components/proxy/src/settle.rs
@@ -17,7 +17,12 @@
 
 /// Share of a statement's time that it may wait before it is refused, in percent. A caller that is
 /// refused has time left to try elsewhere.
-const HOLD_PERCENT: u32 = 45;
+const HOLD_PERCENT: u32 = 30;
+/// Time without a usable primary after which its return is no matter of moments: statements that
+/// need it are refused early, so that their callers know.
+const OUTAGE: Duration = Duration::from_secs(2);
+/// Share of the goal that a statement may wait in an outage, in percent.
+const OUTAGE_HOLD_PERCENT: u32 = 20;
 /// Share of the goal after which an unanswered read is sent to another server, in percent.
 const HEDGE_PERCENT: u32 = 60;
 
@@ -315,13 +320,13 @@
             return self.reject(key, Reason::NoDatabase);
         };
         let moment = self.clock.moment();
+        let hold = self.hold(now, &route);
         let Some(session) = self.sessions.get_mut(key) else {
             return;
         };
         if let Some(open) = &mut session.transaction {
             open.rests_until = None;
         }
-        let hold = route.timeout * HOLD_PERCENT / 100;
         session.work = Some(Work {
             id: id.to_owned(),
             text: text.to_owned(),
@@ -344,6 +349,17 @@
         }
     }
 
+    /// How long a statement may wait before it is refused.
+    fn hold(&self, now: Instant, route: &Route) -> Duration {
+        let service = &self.services[route.service];
+        let missed = service.missed_since.is_some_and(|at| now >= at + OUTAGE);
+        if missed || service.primary.is_none() {
+            route.goal * OUTAGE_HOLD_PERCENT / 100
+        } else {
+            route.timeout * HOLD_PERCENT / 100
+        }
+    }
+
     /// When an unanswered read is worth a second try elsewhere.
     pub(crate) fn hedge(goal: Duration) -> Duration {
         goal * HEDGE_PERCENT / 100
