Let statements wait for 45 % of their time again

Cause: 30 % was less than a change of primary takes, so that statements were refused which the new primary would have served.

--- a/components/proxy/src/settle.rs
+++ b/components/proxy/src/settle.rs
@@ -17,7 +17,7 @@
 
 /// Share of a statement's time that it may wait before it is refused, in percent. A caller that is
 /// refused has time left to try elsewhere.
-const HOLD_PERCENT: u32 = 30;
+const HOLD_PERCENT: u32 = 45;
 /// Time without a usable primary after which its return is no matter of moments: statements that
 /// need it are refused early, so that their callers know.
 const OUTAGE: Duration = Duration::from_secs(2);
