Tell a busy server from a failed one, and keep reads off primaries

Cause: where entries are many a primary drops openings under bursts; that counted as a failure, and entries left the rotation. Reading transactions of aged routes and reads that replicas could serve took the primary's slots.

--- a/components/proxy/src/choose.rs
+++ b/components/proxy/src/choose.rs
@@ -4,8 +4,8 @@
 
 /// Added to the cost of a server in another failure domain: the way there and its price.
 const REMOTE: Duration = Duration::from_millis(4);
-/// Factor on the cost of the primary, which alone can serve writes.
-const PRIMARY: f64 = 1.5;
+/// Factor on the cost of the primary, which alone can serve writes and writing transactions.
+const PRIMARY: f64 = 4.0;
 /// Added to the cost of a server without a free connection: one has to be opened first.
 const OPENING: Duration = Duration::from_millis(15);
 
--- a/components/proxy/src/connection.rs
+++ b/components/proxy/src/connection.rs
@@ -19,13 +19,13 @@
 use crate::timer::Timer;
 
 /// Time for a connection to a server.
-const OPEN_LIMIT: Duration = Duration::from_millis(1200);
+const OPEN_LIMIT: Duration = Duration::from_millis(500);
 /// Time after which a server that acknowledges no bytes counts as gone.
 const SILENCE: Duration = Duration::from_secs(3);
 /// How long a connection of the share stays idle, but for one that is kept.
 const IDLE: Duration = Duration::from_secs(10);
 /// How long a borrowed connection stays idle.
-const BORROWED_IDLE: Duration = Duration::from_millis(300);
+const BORROWED_IDLE: Duration = Duration::from_millis(150);
 /// Time after which an opened connection has to have answered.
 const STARTUP: Duration = Duration::from_millis(1500);
 
--- a/components/proxy/src/lost.rs
+++ b/components/proxy/src/lost.rs
@@ -17,6 +17,8 @@
 /// unusable.
 const UNANSWERED: Duration = Duration::from_millis(500);
 
+/// Time after an answer in which a server that does not take a connection counts as busy.
+const ALIVE: Duration = Duration::from_secs(1);
 /// Time without a usable primary after which sessions are moved. The load balancer has noticed by
 /// then that this entry is not ready.
 const MOVED: Duration = Duration::from_millis(2500);
@@ -36,7 +38,9 @@
         self.close_conn(key);
         let server = &mut self.servers[index];
         let full = cause == Code::ConnectionLimit.label();
-        if server.listed && !full && (starting || !idle) {
+        // Under a burst of openings a server drops some of them and serves on.
+        let crowded = starting && server.answered_at.is_some_and(|at| now < at + ALIVE);
+        if server.listed && !full && !crowded && (starting || !idle) {
             server.on_failure(now);
             let (until, service) = (server.paused_until(), server.service);
             if let Some(until) = until {
--- a/components/proxy/src/refuse.rs
+++ b/components/proxy/src/refuse.rs
@@ -36,6 +36,8 @@
     TransactionLost,
     /// The transaction rested too long.
     Rested,
+    /// The transaction was taken for a reading one and writes.
+    NotReading,
     /// The read was not answered in time.
     Unanswered,
     /// The write was not answered, so that its outcome is unknown.
@@ -58,6 +60,7 @@
             Self::NotPrepared => "not_prepared",
             Self::TransactionLost => "transaction_lost",
             Self::Rested => "rested",
+            Self::NotReading => "not_reading",
             Self::Unanswered => "unanswered",
             Self::OutcomeUnknown => "outcome_unknown",
         }
@@ -76,7 +79,7 @@
             Self::Malformed => Code::Malformed,
             Self::TooLarge => Code::TooLarge,
             Self::NotPrepared => Code::NotPrepared,
-            Self::TransactionLost | Self::Rested => Code::Aborted,
+            Self::TransactionLost | Self::Rested | Self::NotReading => Code::Aborted,
             Self::Unanswered => Code::Timeout,
             Self::OutcomeUnknown => Code::Unknown,
         }
@@ -97,6 +100,7 @@
             Self::NotPrepared => "not run: no such prepared statement",
             Self::TransactionLost => "rolled back: the connection to the server was lost",
             Self::Rested => "rolled back: the transaction rested too long",
+            Self::NotReading => "rolled back: it began on a replica; begin it again to write",
             Self::Unanswered => "the server did not answer in time",
             Self::OutcomeUnknown => "the outcome is unknown: the server did not answer",
         }
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -26,7 +26,7 @@
 const LAGGING: Duration = Duration::from_millis(300);
 /// Time without a served statement in which a smoothed latency halves: a server that was slow once
 /// would never be tried again otherwise.
-const HALF_LIFE: Duration = Duration::from_millis(500);
+const HALF_LIFE: Duration = Duration::from_secs(2);
 /// How long no connection is opened after the server had none to give.
 const FULL: Duration = Duration::from_millis(100);
 
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -39,8 +39,10 @@
 pub struct Transaction {
     /// The route in force at its begin.
     pub route: Route,
-    /// It will only read.
+    /// It will only read: by its caller's word, or by what its route is for.
     pub read_only: bool,
+    /// Its caller has not said so.
+    pub assumed: bool,
     /// When its begin was received.
     pub arrived: Moment,
     /// Connection that it runs on, from its first statement on.
@@ -192,6 +194,8 @@
     pub transaction: Option<Transaction>,
     /// The statement under way.
     pub work: Option<Work>,
+    /// It has written in a transaction that was taken for a reading one.
+    pub writes: bool,
     /// To be closed once its bytes are with its socket.
     pub closing: bool,
 }
@@ -210,6 +214,7 @@
             own: None,
             transaction: None,
             work: None,
+            writes: false,
             closing: false,
         }
     }
--- a/components/proxy/src/settle.rs
+++ b/components/proxy/src/settle.rs
@@ -4,7 +4,7 @@
 
 use bytes::Buf as _;
 use link::io;
-use registry::plan::Format;
+use registry::plan::{Format, Freshness};
 use tokio::net::TcpStream;
 
 use crate::clock::Clock;
@@ -284,9 +284,14 @@
         };
         let arrived = self.clock.moment();
         if let Some(session) = self.sessions.get_mut(key) {
+            // Routes for aged reads carry no writes, and transactions on replicas leave the primary
+            // to those that need it.
+            let aged = matches!(route.freshness, Freshness::Aged(_));
+            let assumed = !read_only && aged && !session.writes;
             session.transaction = Some(Transaction {
                 route,
-                read_only,
+                read_only: read_only || assumed,
+                assumed,
                 arrived,
                 conn: None,
                 used: false,
@@ -315,6 +320,9 @@
     /// Makes work of a statement and looks for a server.
     fn start(&mut self, now: Instant, key: SessionKey, id: &str, text: &str, kind: Kind) {
         let open = self.sessions.get(key).and_then(|s| s.transaction.as_ref());
+        if kind != Kind::Commit && kind.may_change() && open.is_some_and(|open| open.assumed) {
+            return self.reject_assumption(now, key);
+        }
         let route = open.map(|open| open.route).or_else(|| self.route(key));
         let Some(route) = route else {
             return self.reject(key, Reason::NoDatabase);
@@ -349,6 +357,16 @@
         }
     }
 
+    /// A transaction that was taken for a reading one writes after all: it is rolled back, and the
+    /// session's next ones begin on the primary.
+    fn reject_assumption(&mut self, now: Instant, key: SessionKey) {
+        if let Some(session) = self.sessions.get_mut(key) {
+            session.writes = true;
+        }
+        self.fail_transaction(now, key);
+        self.reject(key, Reason::NotReading);
+    }
+
     /// How long a statement may wait before it is refused.
     fn hold(&self, now: Instant, route: &Route) -> Duration {
         let service = &self.services[route.service];
