--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use settings::{Control, Entry, Kind, Standin};
+use settings::{Control, Coordinator, Entry, Kind, Proxy, Standin};
 
 use crate::failure::Failure;
 
@@ -14,7 +14,7 @@
         .arg(
             Arg::new("kind")
                 .value_name("KIND")
-                .value_parser(["control", "entry", "standin"])
+                .value_parser(["control", "coordinator", "entry", "proxy", "standin"])
                 .required(true),
         )
         .arg(
@@ -32,7 +32,9 @@
     let file = file.map_or(Path::new(""), PathBuf::as_path);
     match kind {
         Some("control") => check::<Control>(file),
+        Some("coordinator") => check::<Coordinator>(file),
         Some("entry") => check::<Entry>(file),
+        Some("proxy") => check::<Proxy>(file),
         _ => check::<Standin>(file),
     }
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands.
 
 pub mod check;
+pub mod explain;
 pub mod members;
 pub mod settings;
 pub mod status;
--- a/src/main.rs
+++ b/src/main.rs
@@ -24,8 +24,10 @@
     let Some((name, sub)) = matches.subcommand() else {
         return Err(Failure::Usage("no subcommand is given".to_owned()));
     };
-    if name == "check-settings" {
-        return cmd::check::run(sub);
+    match name {
+        "check-settings" => return cmd::check::run(sub),
+        "explain" => return cmd::explain::run(sub),
+        _ => {}
     }
     let session = Session::new(matches)?;
     observe::process::block(async {
@@ -53,6 +55,7 @@
         .subcommand(cmd::members::command())
         .subcommand(cmd::switch::command())
         .subcommand(cmd::check::command())
+        .subcommand(cmd::explain::command())
 }
 
 /// Options of every subcommand that calls control.
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -269,3 +269,27 @@
     let refused = load::<Control>(&["--settings", bad.to_str().unwrap()]);
     assert_eq!(refused, Err(std::process::ExitCode::from(2)));
 }
+
+fn logs(name: &str) -> String {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/explain");
+    folder.join(name).display().to_string()
+}
+
+// A refusal is explained by what its service went through on other processes before it.
+#[test]
+fn explain_shows_a_request_with_the_changes_of_state_before_it() {
+    let (proxy, coordinator) = (logs("proxy-1.log"), logs("coordinator-1.log"));
+    let output = program(&["explain", "66d4", &proxy, &coordinator]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(lines[0].contains("unusable primaries"), "{text}");
+    assert!(lines[1].contains("coordinator-1") && lines[1].contains("to=gather"));
+    assert!(lines[2].contains("outcome=no_primary"));
+}
+
+#[test]
+fn explain_refuses_an_unknown_request() {
+    let output = program(&["explain", "none", &logs("proxy-1.log")]);
+    assert_eq!(output.status.code(), Some(2));
+}
