Hear of missing primaries sooner

Entries whose coordinator was cut off with a zone kept it for 1.5 s, so that their reports reached the leader late, and the change of primary began 1.9 s after the cut.

Ruled out: the leader's own watch; it alone must not decide, as it may be the one that is cut off.

--- a/components/coordinator/src/lead.rs
+++ b/components/coordinator/src/lead.rs
@@ -21,7 +21,7 @@
 /// Silence of a primary towards this instance that counts by itself.
 const LONG_SILENCE: Duration = Duration::from_secs(3);
 /// How long the entries' majority has to miss a primary that answers this instance.
-const MISSED: Duration = Duration::from_millis(500);
+const MISSED: Duration = Duration::from_millis(300);
 /// Time after a promotion in which entries that have not heard of it still miss the primary.
 const FRESH: Duration = Duration::from_secs(1);
 /// Silence after which a server is removed from the registry.
--- a/components/proxy/src/lost.rs
+++ b/components/proxy/src/lost.rs
@@ -15,7 +15,7 @@
 
 /// Time without an answer of a primary, while statements wait for one, after which it counts as
 /// unusable.
-const UNANSWERED: Duration = Duration::from_millis(500);
+const UNANSWERED: Duration = Duration::from_millis(400);
 
 /// Time after an answer in which a server that does not take a connection counts as busy.
 const ALIVE: Duration = Duration::from_secs(1);
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -20,7 +20,7 @@
 const RETRY: Duration = Duration::from_millis(100);
 /// Time without a sign that the coordinator is in contact with a leader, after which another one is
 /// dialled. Several pulses are sent in this time.
-const SILENCE: Duration = Duration::from_millis(1500);
+const SILENCE: Duration = Duration::from_millis(900);
 /// Entries that are assumed before a coordinator has told their number.
 const ASSUMED: u32 = 16;
 /// Complaints that wait for the stream.
