Trust the log of a primary that has stepped down

A primary that stepped down in order holds every commit that it acknowledged, yet the change waited six seconds for a replica in a zone that was cut off.

Ruled out: the same without the sight of it leading; a server started anew under its identity holds nothing of before.

--- a/components/coordinator/src/event.rs
+++ b/components/coordinator/src/event.rs
@@ -5,6 +5,7 @@
 use disk::{Native, Wal};
 use registry::change::{Command, Promotion, Status};
 use tokio::sync::mpsc;
+use types::Point;
 
 /// Identity of a stream from an entry, never used twice.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -13,8 +14,8 @@
 /// What a server said.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ping {
-    /// It leads in this term.
-    Leads(u64),
+    /// It leads, and its log ends here.
+    Leads(Point),
     /// It answers but does not lead.
     Follows,
     /// It does not answer.
--- a/components/coordinator/src/fleet.rs
+++ b/components/coordinator/src/fleet.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
+use types::Point;
 
 use crate::event::{Event, Ping};
 
@@ -31,8 +32,8 @@
     /// Carries out a command. [`Command::Verify`] fails on a server that does not lead.
     fn command(&mut self, command: Command) -> impl Future<Output = Result<Status>>;
 
-    /// The term of a server that leads, at little cost to it; none if it does not lead.
-    fn leads(&mut self) -> impl Future<Output = Result<Option<u64>>>;
+    /// The end of the log of a server that leads, at little cost to it; none if it does not lead.
+    fn leads(&mut self) -> impl Future<Output = Result<Option<Point>>>;
 
     /// Asks the platform to promote a server. `holder` names this instance.
     fn promote(
@@ -171,13 +172,13 @@
 async fn ping<F: Fleet>(open: &mut Option<F>, server: &Server) -> Event {
     let asked = timeout(PING_LIMIT, async {
         let mut conn = take(open, server).await?;
-        let term = conn.leads().await?;
-        anyhow::Ok((conn, term))
+        let end = conn.leads().await?;
+        anyhow::Ok((conn, end))
     });
     let ping = match asked.await {
-        Ok(Ok((conn, term))) => {
+        Ok(Ok((conn, end))) => {
             *open = Some(conn);
-            term.map_or(Ping::Follows, Ping::Leads)
+            end.map_or(Ping::Follows, Ping::Leads)
         }
         Ok(Err(_)) | Err(_) => Ping::Silent,
     };
--- a/components/coordinator/src/lead.rs
+++ b/components/coordinator/src/lead.rs
@@ -7,7 +7,7 @@
 use cluster::convert::Report;
 use registry::change::{Action, Command, Signals, Verdict};
 use registry::{Machine, Registry};
-use types::Name;
+use types::{Name, Point};
 
 use crate::event::Ping;
 use crate::fleet::Agent;
@@ -37,8 +37,8 @@
     answered_at: Instant,
     /// It answered that it does not lead.
     follows: bool,
-    /// Highest term in which it led.
-    term: Option<u64>,
+    /// End of its log when it led last.
+    led: Option<Point>,
     /// Since when most entries miss it.
     missed_since: Option<Instant>,
     /// Until when nothing is held against it, as it has only begun to lead.
@@ -128,10 +128,10 @@
             return;
         };
         match ping {
-            Ping::Leads(term) => {
+            Ping::Leads(end) => {
                 watch.answered_at = now;
                 watch.follows = false;
-                watch.term = Some(term);
+                watch.led = Some(end);
             }
             Ping::Follows => {
                 watch.answered_at = now;
@@ -195,7 +195,7 @@
                 agent: start(server),
                 answered_at: now,
                 follows: false,
-                term: None,
+                led: None,
                 missed_since: None,
                 fresh_until: None,
             };
@@ -211,11 +211,11 @@
         out: &mut Vec<(String, Action)>,
     ) {
         let verdict = self.verdict(now, service, registry);
-        let terms = registry
-            .members(service)
-            .filter_map(|it| self.watches.get(&it.id)?.term);
-        let term = terms.max();
-        let signals = Signals { verdict, term };
+        let led = |id: &str| self.watches.get(id)?.led;
+        let terms = registry.members(service).filter_map(|it| led(&it.id));
+        let term = terms.map(|end| end.term.0).max();
+        let led = registry.primary(service).and_then(|it| led(&it.id));
+        let signals = Signals { verdict, term, led };
         let (heard, since) = (&self.heard, self.since);
         let silence = |id: &str| {
             let heard = heard.get(id).copied().unwrap_or(since);
--- a/components/registry/src/change.rs
+++ b/components/registry/src/change.rs
@@ -20,6 +20,8 @@
 const VERIFY: Duration = Duration::from_millis(120);
 /// How long the old primary is waited for; it answers at once if it can be reached.
 const STEP_DOWN: Duration = Duration::from_millis(400);
+/// How long a replica is waited for before the old primary, which has stepped down, leads again.
+const CATCH_UP: Duration = Duration::from_secs(1);
 /// Time for a choice to be committed.
 const CHOICE: Duration = Duration::from_secs(2);
 /// Time for a promotion to take effect before everything is gathered anew.
@@ -113,6 +115,8 @@
     pub verdict: Verdict,
     /// Highest term that was seen.
     pub term: Option<u64>,
+    /// End of the primary's log when it was last seen to lead.
+    pub led: Option<Point>,
 }
 
 #[derive(Debug)]
@@ -210,7 +214,8 @@
             Phase::Steady => {}
             Phase::Gather(gather) => {
                 gather.ask(now, &self.service, registry, out);
-                if let Some(id) = gather.choice(now, &self.service, registry, silence) {
+                if let Some(id) = gather.choice(now, &self.service, registry, signals.led, silence)
+                {
                     let after = registry
                         .leader(&self.service)
                         .map_or(0, |leader| leader.token);
@@ -424,12 +429,13 @@
         self.stepped_down = None;
     }
 
-    /// The server to promote, once every replica that may hold an acknowledged commit has answered.
+    /// The server to promote, once no other one can hold an acknowledged commit that it lacks.
     fn choice(
         &self,
         now: Instant,
         service: &str,
         registry: &Registry,
+        led: Option<Point>,
         silence: impl Fn(&str) -> Duration,
     ) -> Option<String> {
         let primary = registry.primary(service);
@@ -441,23 +447,42 @@
         let mut awaited = replicas
             .clone()
             .filter(|s| !self.rows.contains_key(&s.id) && silence(&s.id) < LOST);
-        if awaited.next().is_some() {
-            return None;
+        let is_complete = awaited.next().is_none();
+        let answered = replicas.filter_map(|server| {
+            let row = self.rows.get(&server.id)?;
+            Some((row.received, server))
+        });
+        let best = answered.max_by_key(|(point, server)| {
+            // Of equals one that stays, and then always the same one.
+            let id = std::cmp::Reverse(server.id.clone());
+            (point.term, point.lsn, !server.draining, id)
+        });
+        if is_complete {
+            return best.map(|(_, server)| server.id.clone());
         }
-        let row = |server: &'_ Server| self.rows.get(&server.id).map(|row| row.received);
-        let answered = replicas.filter_map(|server| Some((row(server)?, server)));
-        // Of equals one that stays, and then always the same one.
-        let rank = |(point, server): &(Point, &Server)| {
-            let stays = !server.draining;
-            (
-                point.term,
-                point.lsn,
-                stays,
-                std::cmp::Reverse(server.id.clone()),
-            )
-        };
-        answered
-            .max_by_key(rank)
-            .map(|(_, server)| server.id.clone())
+        let (end, old) = (self.acknowledged(service, registry, led)?, primary?);
+        match best {
+            Some((point, server)) if (point.term, point.lsn) >= (end.term, end.lsn) => {
+                Some(server.id.clone())
+            }
+            _ if old.draining || now < self.since + CATCH_UP => None,
+            _ => Some(old.id.clone()),
+        }
+    }
+
+    /// End of the old primary's log, which holds every acknowledged commit once it has stepped down.
+    /// While a choice is unconfirmed another server may have led since; and a server that was started
+    /// anew under its identity may hold less than it did when it led.
+    fn acknowledged(
+        &self,
+        service: &str,
+        registry: &Registry,
+        led: Option<Point>,
+    ) -> Option<Point> {
+        let leader = registry.leader(service);
+        let settled = leader.is_none_or(|leader| leader.confirmed);
+        let (end, led) = (self.stepped_down?.received, led?);
+        let kept = (end.term, end.lsn) >= (led.term, led.lsn);
+        (settled && kept).then_some(end)
     }
 }
--- a/components/registry/tests/change.rs
+++ b/components/registry/tests/change.rs
@@ -18,6 +18,8 @@
     verdict: Verdict,
     /// Silence of all servers.
     silence: Duration,
+    /// End of the primary's log when it was last seen to lead.
+    led: Option<Point>,
     actions: Vec<Action>,
 }
 
@@ -29,6 +31,10 @@
             now: Instant::now(),
             verdict: Verdict::Serving,
             silence: Duration::ZERO,
+            led: Some(Point {
+                term: Term(3),
+                lsn: Lsn(90),
+            }),
             actions: Vec::new(),
         };
         world.register("p", Role::Primary, false);
@@ -61,6 +67,7 @@
         let signals = Signals {
             verdict: self.verdict,
             term: Some(3),
+            led: self.led,
         };
         let silence = self.silence;
         self.machine.step(
@@ -392,3 +399,83 @@
     world.paused("r2", 4, (3, 90));
     assert_eq!(world.chosen(), Some("p"));
 }
+
+/// The old primary steps down and tells where its log ends.
+fn step_down(world: &mut World, received: (u64, u64)) {
+    let status = Status {
+        role: Role::Replica,
+        term: 3,
+        received: Point {
+            term: Term(received.0),
+            lsn: Lsn(received.1),
+        },
+        paused: 0,
+    };
+    let command = Command::StepDown(4);
+    world
+        .machine
+        .on_answer("p", command, Some(status), &mut world.actions);
+    world.step();
+}
+
+// The log of a primary that has stepped down holds every commit that it acknowledged: a replica
+// that is out of reach can't have more, and the service must not wait for it. An incident cost six
+// seconds.
+#[rstest]
+#[case::replica_has_all((3, 95), Some("r1"))]
+#[case::only_the_old_primary_has((3, 96), Some("p"))]
+fn needs_no_other_replica_beside_a_primary_that_stepped_down(
+    #[case] end: (u64, u64),
+    #[case] expected: Option<&str>,
+) {
+    let mut world = World::new();
+    world.fail();
+    step_down(&mut world, end);
+    world.paused("r1", 4, (3, 95));
+    world.wait(1100);
+    assert_eq!(world.chosen(), expected);
+}
+
+// While an earlier choice is unconfirmed another server may have led, and acknowledged commits.
+#[test]
+fn trusts_no_stepping_down_after_an_unconfirmed_choice() {
+    let mut world = World::new();
+    let lead = Order::Lead {
+        service: SERVICE.to_owned(),
+        id: "p".to_owned(),
+    };
+    world.apply(&lead);
+    world.fail();
+    step_down(&mut world, (3, 95));
+    world.paused("r1", 4, (3, 95));
+    world.wait(1100);
+    assert_eq!(world.chosen(), None);
+}
+
+// A server that was started anew under its identity holds nothing of before; one that nobody saw
+// lead may not have led.
+#[rstest]
+#[case::emptied(Some(Point { term: Term(3), lsn: Lsn(97) }))]
+#[case::never_seen(None)]
+fn trusts_only_the_log_of_a_primary_that_was_seen_to_lead(#[case] led: Option<Point>) {
+    let mut world = World::new();
+    world.led = led;
+    world.fail();
+    step_down(&mut world, (3, 95));
+    world.paused("r1", 4, (3, 95));
+    world.wait(1100);
+    assert_eq!(world.chosen(), None);
+}
+
+// A primary that leaves is not chosen again where a replica could be awaited.
+#[test]
+fn does_not_choose_a_draining_primary_again() {
+    let mut world = World::new();
+    world.register("p", Role::Primary, true);
+    world.step();
+    world.wait(500);
+    step_down(&mut world, (3, 96));
+    world.paused("r1", 4, (3, 95));
+    world.wait(1100);
+    assert_eq!(world.chosen(), None);
+}
