Replace a primary that answers far too slowly

Ruled out: BUSY alone as a sign, which callers that are simply too many bring about too; slowness is taken from answers, at most once in 10 s.

--- a/components/proxy/src/answer.rs
+++ b/components/proxy/src/answer.rs
@@ -234,6 +234,7 @@
         };
         let took = now.saturating_duration_since(conn.since);
         self.servers[index].on_served(now, took);
+        let latency = self.servers[index].latency();
         let Some(session) = self.sessions.get_mut(session_key) else {
             return self.release(now, key, state != State::Idle);
         };
@@ -257,6 +258,10 @@
             self.release(now, key, state != State::Idle);
             return self.try_again(now, session_key, index, code);
         }
+        let service = &mut self.services[work.route.service];
+        if service.primary == Some(index) {
+            service.on_primary_latency(now, latency, work.route.goal);
+        }
         if error.is_none() && self.proves_leading(session_key, work.kind) {
             self.on_leading(key, at, point);
         }
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -18,7 +18,7 @@
 impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
     pub(crate) fn on_registry(&mut self, now: Instant) {
         self.follow_plan();
-        self.clear_confirmed();
+        self.clear_confirmed(now);
         self.follow_servers(now);
         for index in 0..self.services.len() {
             self.follow_primary(now, index);
@@ -56,12 +56,14 @@
     }
 
     /// A primary that was only chosen leads now: nothing that was held against it counts.
-    fn clear_confirmed(&mut self) {
+    fn clear_confirmed(&mut self, now: Instant) {
         for service in &mut self.services {
             let token = self.registry.leader(&service.name);
             let token = token.filter(|it| it.confirmed).map_or(0, |it| it.token);
             if token > service.confirmed {
                 service.confirmed = token;
+                service.confirmed_at = Some(now);
+                service.slow_since = None;
                 service.missed_since = None;
             }
         }
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -27,6 +27,12 @@
 /// Time without a served statement in which a smoothed latency halves: a server that was slow once
 /// would never be tried again otherwise.
 const HALF_LIFE: Duration = Duration::from_secs(2);
+/// Multiple of a route's goal from which a primary's smoothed latency counts as slow.
+const SLOW_FACTOR: u32 = 2;
+/// How long a primary has to be slow. Demand that swells for a moment is over before.
+const SLOW: Duration = Duration::from_millis(1500);
+/// Time after a change of primary in which slowness is no reason for another.
+const SETTLED: Duration = Duration::from_secs(10);
 /// How long no connection is opened after the server had none to give.
 const FULL: Duration = Duration::from_millis(100);
 
@@ -209,6 +215,12 @@
         self.latency = self.latency.mul_f64(1.0 - SMOOTHING) + took.mul_f64(SMOOTHING);
     }
 
+    /// Smoothed time of its answers.
+    #[must_use]
+    pub fn latency(&self) -> Duration {
+        self.latency
+    }
+
     /// It answered something.
     pub fn on_answer(&mut self, now: Instant, lag: Option<Duration>) {
         self.answered_at = Some(now);
@@ -295,6 +307,10 @@
     pub waiting: VecDeque<SessionKey>,
     /// Since when the primary can't be used.
     pub missed_since: Option<Instant>,
+    /// Since when the primary answers far too slowly.
+    pub slow_since: Option<Instant>,
+    /// When the last promotion was known to have taken effect.
+    pub confirmed_at: Option<Instant>,
     /// Token of the last promotion that is known to have taken effect.
     pub confirmed: u64,
     /// Connections that each server takes from all callers together.
@@ -302,6 +318,23 @@
 }
 
 impl Service {
+    /// Takes note of how slowly the primary answers, by the goal of a statement that it served.
+    pub fn on_primary_latency(&mut self, now: Instant, latency: Duration, goal: Duration) {
+        if latency > goal * SLOW_FACTOR {
+            self.slow_since.get_or_insert(now);
+        } else {
+            self.slow_since = None;
+        }
+    }
+
+    /// Whether the primary has been slow for so long that another one is better. A change costs a
+    /// second without writes, and is of no use where callers simply are too many: one in a while.
+    #[must_use]
+    pub fn is_primary_slow(&self, now: Instant) -> bool {
+        let slow = self.slow_since.is_some_and(|since| now >= since + SLOW);
+        slow && self.confirmed_at.is_none_or(|at| now >= at + SETTLED)
+    }
+
     /// A service without servers.
     #[must_use]
     pub fn new(name: &str) -> Self {
@@ -312,6 +345,8 @@
             track: Track::default(),
             waiting: VecDeque::new(),
             missed_since: None,
+            slow_since: None,
+            confirmed_at: None,
             confirmed: 0,
             connections: 0,
         }
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -14,6 +14,7 @@
 use crate::event::Event;
 use crate::process::Loop;
 use crate::protocol::Protocol;
+use crate::server::Service;
 use crate::timer::Timer;
 
 /// Pause before the next coordinator is dialled.
@@ -104,7 +105,7 @@
                 tracing::warn!("coordinator is silent or has lost its leader");
                 self.metrics.common.retries.add("coordinator");
             }
-            _ => return self.complain(),
+            _ => return self.complain(now),
         }
         let Some(address) = self.subscription.address() else {
             return;
@@ -217,11 +218,12 @@
     }
 
     /// Tells the coordinators which primaries can't be used, when that has changed.
-    fn complain(&mut self) {
+    fn complain(&mut self, now: Instant) {
         let State::Up { out, .. } = &self.subscription.state else {
             return;
         };
-        let missed = self.services.iter().filter(|it| it.missed_since.is_some());
+        let unusable = |it: &&Service| it.missed_since.is_some() || it.is_primary_slow(now);
+        let missed = self.services.iter().filter(unusable);
         let complaints: Vec<(String, String)> = missed
             .filter_map(|service| {
                 let primary = &self.servers[service.primary?];
--- a/tests/machines.rs
+++ b/tests/machines.rs
@@ -145,3 +145,31 @@
         assert!(took < Duration::from_millis(2900), "{took:?}");
     });
 }
+
+// A primary that answers, but far too slowly for its callers, holds up all writes of its service.
+#[test]
+fn replaces_a_slow_primary() {
+    run(|| async {
+        let world = World::start().await;
+        world.put_plan(1, 1000).await;
+        let mut callers = Vec::new();
+        for _ in 0..4 {
+            callers.push(world.caller().await);
+        }
+        world.group.server(0).work = Duration::from_millis(600);
+        for mut caller in callers {
+            spawn_local(async move {
+                loop {
+                    caller.run("READ egg").await;
+                }
+            });
+        }
+        for _ in 0..300 {
+            if world.group.leader().is_some_and(|leader| leader != 0) {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        panic!("the slow primary still leads");
+    });
+}
