--- a/components/coordinator/src/process.rs
+++ b/components/coordinator/src/process.rs
@@ -32,6 +32,9 @@
 const BATCH: usize = 256;
 /// Messages that wait for an entry's stream.
 const ENTRY_OUT: usize = 1024;
+/// Connections on the HTTP endpoint. Servers keep theirs between heartbeats; the rest of the
+/// machines' 4,096 descriptors is for streams, agents and files.
+const MAX_CONNECTIONS: usize = 3000;
 /// Bytes of a request's body.
 const MAX_BODY: usize = 4 << 20;
 /// Pause after a failed write before the process ends to be started again.
@@ -133,6 +136,7 @@
     let (events, mut queue) = mpsc::channel(EVENTS);
     let limits = observe::http::Limits {
         body: MAX_BODY,
+        connections: MAX_CONNECTIONS,
         ..Default::default()
     };
     spawn_local(observe::http::serve_with(http, events.clone(), limits));
--- a/tests/machines.rs
+++ b/tests/machines.rs
@@ -8,6 +8,8 @@
 use std::fs;
 use std::time::Duration;
 
+use standin::call;
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use world::{World, plan, run, send};
@@ -173,3 +175,22 @@
         panic!("the slow primary still leads");
     });
 }
+
+// Servers keep their connections open between heartbeats: hundreds of them must not keep an operator
+// from an answer. A sweep with 90 servers did.
+#[test]
+fn answers_operators_beside_hundreds_of_open_connections() {
+    run(|| async {
+        let world = World::start().await;
+        world.put_plan(1, 1000).await;
+        let leader = world.leader().await;
+        let address = world.coordinators[leader].http;
+        let mut open = Vec::new();
+        for _ in 0..600 {
+            open.push(TcpStream::connect(address).await.unwrap());
+        }
+        sleep(Duration::from_millis(300)).await;
+        let answer = call(address, "GET", "/-/configuration", "").await;
+        assert_eq!(answer.0, 200);
+    });
+}
