--- a/components/proxy/src/choose.rs
+++ b/components/proxy/src/choose.rs
@@ -66,8 +66,8 @@
 /// The cheapest server that may serve a read of a position that the primary had `age` ago; none if
 /// all have to be waited for.
 ///
-/// A server that seems to lack the position is waited for by nobody, and one that was tried before
-/// is used only if no other is left.
+/// A server that seems to lack the position is not chosen, and one that was tried before only if no
+/// other is left.
 #[must_use]
 pub fn choose(candidates: &[Candidate], age: Duration, now: Instant) -> Option<usize> {
     let cheapest = |again: bool| {
