Wait for leaving servers that may still run

A server that leaves sends a last call and ends. It was removed from the registry with that call, although it receives and acknowledges commits until its process has ended: behind a cut it can be the only one besides the primary that has them. A change of primary then waited for nobody and chose a replica without them. A server is removed now once it has closed its connection to the leader in order, or 12 s after its call.

Ruled out: a server that stops its heartbeats when it drains (the gathering waited for it beyond 12 s); connections that are refused as a proof of the end (a cut refuses them too).

Tests: waits_for_a_leaving_replica_that_may_still_run failed before; its counterpart waits_for_no_leaving_replica_that_has_ended guards against waiting too long.

--- a/components/coordinator/src/event.rs
+++ b/components/coordinator/src/event.rs
@@ -20,6 +20,8 @@
     Follows,
     /// It does not answer.
     Silent,
+    /// It has closed the connection.
+    Closed,
 }
 
 /// Something that happened outside the loop.
--- a/components/coordinator/src/fleet.rs
+++ b/components/coordinator/src/fleet.rs
@@ -35,6 +35,10 @@
     /// The end of the log of a server that leads, at little cost to it; none if it does not lead.
     fn leads(&mut self) -> impl Future<Output = Result<Option<Point>>>;
 
+    /// Waits until the server closes the connection. Fails if the connection breaks otherwise, which
+    /// a network that is cut brings about as well.
+    fn closed(&mut self) -> impl Future<Output = Result<()>>;
+
     /// Asks the platform to promote a server. `holder` names this instance.
     fn promote(
         platform: SocketAddr,
@@ -108,6 +112,39 @@
     }
 }
 
+/// What an agent does next.
+#[derive(Debug)]
+enum Next {
+    Command(Command),
+    Ping,
+    /// The connection has ended by the server's close, or failed.
+    Closed(Result<()>),
+}
+
+async fn closed<F: Fleet>(open: &mut Option<F>) -> Result<()> {
+    match open {
+        Some(conn) => conn.closed().await,
+        None => std::future::pending().await,
+    }
+}
+
+fn lost(server: &Server, closed: Result<()>) -> Event {
+    let ping = match closed {
+        Ok(()) => {
+            tracing::info!(id = server.id, "server closed the connection");
+            Ping::Closed
+        }
+        Err(error) => {
+            tracing::info!(id = server.id, error = %format!("{error:#}"), "connection to a server lost");
+            Ping::Silent
+        }
+    };
+    Event::Ping {
+        id: server.id.clone(),
+        ping,
+    }
+}
+
 async fn run<F: Fleet>(
     events: mpsc::Sender<Event>,
     server: Server,
@@ -118,14 +155,19 @@
         let next = tokio::select! {
             biased;
             command = commands.recv() => match command {
-                Some(command) => Some(command),
+                Some(command) => Next::Command(command),
                 None => return,
             },
-            () = sleep(PING) => None,
+            closed = closed(&mut open) => Next::Closed(closed),
+            () = sleep(PING) => Next::Ping,
         };
         let event = match next {
-            Some(command) => answer(&mut open, &server, command).await,
-            None => ping(&mut open, &server).await,
+            Next::Command(command) => answer(&mut open, &server, command).await,
+            Next::Ping => ping(&mut open, &server).await,
+            Next::Closed(closed) => {
+                open = None;
+                lost(&server, closed)
+            }
         };
         if events.send(event).await.is_err() {
             return;
--- a/components/coordinator/src/lead.rs
+++ b/components/coordinator/src/lead.rs
@@ -24,6 +24,8 @@
 const MISSED: Duration = Duration::from_millis(300);
 /// Time after a promotion in which entries that have not heard of it still miss the primary.
 const FRESH: Duration = Duration::from_secs(1);
+/// Time after a server's last call in which it may still run, if nothing shows that it has ended.
+const LEAVING: Duration = Duration::from_secs(12);
 /// Silence after which a server is removed from the registry.
 pub const GONE: Duration = Duration::from_secs(20);
 
@@ -43,6 +45,11 @@
     missed_since: Option<Instant>,
     /// Until when nothing is held against it, as it has only begun to lead.
     fresh_until: Option<Instant>,
+    /// It has sent its last call, at this moment.
+    left_at: Option<Instant>,
+    /// It has closed its connection and answered nothing since. Of one that has sent its last call,
+    /// only the end of the process does that.
+    closed: bool,
 }
 
 /// State of a leader.
@@ -96,6 +103,26 @@
         }
     }
 
+    /// A server sent its last call.
+    pub fn on_leave(&mut self, now: Instant, id: &str) {
+        self.on_heartbeat(now, id);
+        if let Some(watch) = self.watches.get_mut(id) {
+            watch.left_at.get_or_insert(now);
+        }
+    }
+
+    /// Whether a server that has sent its last call is gone. Until its process has ended it receives
+    /// commits, and may be the only one that has them: the answer to the call may be lost in a cut.
+    #[must_use]
+    pub fn has_left(&self, now: Instant, id: &str) -> bool {
+        let Some(watch) = self.watches.get(id) else {
+            return false;
+        };
+        watch
+            .left_at
+            .is_some_and(|at| watch.closed || now >= at + LEAVING)
+    }
+
     /// Time since a server's last heartbeat, at most the time of this leadership.
     #[must_use]
     pub fn silence(&self, now: Instant, id: &str) -> Duration {
@@ -130,13 +157,14 @@
         match ping {
             Ping::Leads(end) => {
                 watch.answered_at = now;
-                watch.follows = false;
+                (watch.follows, watch.closed) = (false, false);
                 watch.led = Some(end);
             }
             Ping::Follows => {
                 watch.answered_at = now;
-                watch.follows = true;
+                (watch.follows, watch.closed) = (true, false);
             }
+            Ping::Closed => watch.closed = true,
             Ping::Silent => {}
         }
     }
@@ -198,6 +226,8 @@
                 led: None,
                 missed_since: None,
                 fresh_until: None,
+                left_at: None,
+                closed: false,
             };
             self.watches.insert(server.id.clone(), watch);
         }
--- a/components/coordinator/src/serve.rs
+++ b/components/coordinator/src/serve.rs
@@ -116,20 +116,29 @@
         life: Option<Life>,
         reply: Sender,
     ) -> Result<()> {
-        let known = self.registry.server(id).map(|server| server.life);
-        let Some(life) = life.or(known).filter(|_| known.is_some()) else {
-            if !self.node.leader_confirmed(now) {
-                return self.refuse(&path, reply, "no_quorum");
+        let known = self.registry.server(id);
+        let present = known.filter(|server| life.is_none_or(|life| life.born == server.life.born));
+        if let Some(server) = present
+            && let Some(lead) = &mut self.lead
+        {
+            tracing::info!(id, draining = server.draining, "server leaves");
+            lead.on_leave(now, id);
+            if !server.draining {
+                let life = life.unwrap_or(server.life);
+                let server = Server {
+                    draining: true,
+                    life: life.max(server.life),
+                    ..server.clone()
+                };
+                let waiter = Waiter::Done { path, reply };
+                return self.propose_for(now, &Order::Register(server), waiter);
             }
-            reply.send(A::reply(&path, Reply::Done));
-            return Ok(());
-        };
-        let id = id.to_owned();
-        self.propose_for(
-            now,
-            &Order::Remove { id, life },
-            Waiter::Done { path, reply },
-        )
+        }
+        if !self.node.leader_confirmed(now) {
+            return self.refuse(&path, reply, "no_quorum");
+        }
+        reply.send(A::reply(&path, Reply::Done));
+        Ok(())
     }
 
     fn on_plan(
@@ -215,7 +224,7 @@
         }
     }
 
-    /// Removes servers that have sent nothing for long.
+    /// Removes servers that have left, or have sent nothing for long.
     pub(crate) fn remove_gone(&mut self, now: Instant) -> Result<()> {
         let Some(lead) = &self.lead else {
             return Ok(());
@@ -223,7 +232,9 @@
         let gone = self.registry.servers().find(|server| {
             let primary = self.registry.primary(&server.service);
             let is_primary = primary.is_some_and(|primary| primary.id == server.id);
-            !is_primary && lead.silence(now, &server.id) > GONE
+            let silent = lead.silence(now, &server.id) > GONE;
+            let left = lead.has_left(now, &server.id);
+            (silent && !is_primary) || left
         });
         let Some(server) = gone else {
             return Ok(());
--- a/tests/machines.rs
+++ b/tests/machines.rs
@@ -62,6 +62,59 @@
     });
 }
 
+/// A world whose replica s2 is about to leave and has told so, with its last call. It is not gone
+/// yet, and the only one that still receives what the primary commits.
+async fn leaving_replica() -> (World, standin::Caller) {
+    let world = World::start().await;
+    world.put_plan(1, 1000).await;
+    let mut caller = world.caller().await;
+    world.group.server(2).draining = true;
+    sleep(Duration::from_millis(500)).await;
+    let leave = r#"{"born":7,"sequence":100000}"#;
+    let answer = send(&world.addresses(), "DELETE", "/-/instances/s2", leave).await;
+    assert_eq!(answer.0, 200);
+    world.group.server(1).deaf = true;
+    caller.until("WRITE egg 5", "ok I").await;
+    (world, caller)
+}
+
+// A replica whose last call was answered into a cut runs on, and acknowledged commits of the primary
+// that no other replica had: the other one was promoted without them.
+#[test]
+fn waits_for_a_leaving_replica_that_may_still_run() {
+    run(|| async {
+        let (world, mut caller) = leaving_replica().await;
+        for index in [0, 2] {
+            world.group.server(index).silent = true;
+        }
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(world.group.leader(), Some(0));
+        for index in [0, 1] {
+            world.group.catch_up(index);
+        }
+        caller.until("READ egg", "5 ok I").await;
+    });
+}
+
+// A leaving replica that has closed its connections holds up no change of primary.
+#[test]
+fn waits_for_no_leaving_replica_that_has_ended() {
+    run(|| async {
+        let (world, _caller) = leaving_replica().await;
+        world.group.catch_up(1);
+        world.group.end(2);
+        sleep(Duration::from_millis(600)).await;
+        world.group.server(0).silent = true;
+        for _ in 0..100 {
+            if world.group.leader() == Some(1) {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        panic!("the primary was not replaced");
+    });
+}
+
 // What was acknowledged is there after the leader is killed, and an older plan changes nothing.
 #[test]
 fn keeps_plans_over_a_killed_leader() {
