Share positions of primaries, and stay ready while a primary is lost to all

Reads that accept an age run on replicas by a position that the primary had lately. Each entry took such positions only from its own statements: with 80 entries before 8 databases a sample was older than the accepted age for a fifth of the reads, which then went to the primary and waited for its scarce connections. Coordinators ask every primary anyway; entries now ask them for positions of services in use. Ages are told, not moments, and count from when the question was sent, so that neither clocks nor delays make a sample look younger.

An entry was not ready, and closed its sessions, while any primary was missed for a second, also when no entry could reach it. It stays ready now unless the coordinators have had an answer of that primary within 0.9 s or are lost to it as well.

A server that refuses connections counts as failed at once. Within a second of its last answer it was taken for a crowded one and dialled about a hundred times a second by each entry.

Readiness and refused connections have no test yet.

--- a/components/cluster/src/convert.rs
+++ b/components/cluster/src/convert.rs
@@ -17,6 +17,10 @@
     Introduction(Introduction),
     /// What the entries of the sender report.
     Report(Report),
+    /// The sender asks for positions of primaries.
+    Ask(Identity, wire::Question),
+    /// Positions of primaries.
+    Samples(wire::Samples),
 }
 
 /// A control instance introduces itself.
@@ -70,6 +74,8 @@
 
 /// Instances that one introduction may name.
 const MAX_KNOWN: usize = 64;
+/// Services that one question may name.
+pub const MAX_SERVICES: usize = 10_000;
 /// Complaints that one report may hold.
 const MAX_COMPLAINTS: usize = 10_000;
 
@@ -107,6 +113,28 @@
     }
 }
 
+/// A question for the leader.
+#[must_use]
+pub fn ask(from: &Identity, question: wire::Question) -> wire::Peer {
+    wire::Peer {
+        from: from.instance.to_string(),
+        disk: from.disk.0,
+        epoch: 0,
+        body: wire::Body::Ask(question),
+    }
+}
+
+/// An answer to a question.
+#[must_use]
+pub fn samples(from: &Identity, samples: wire::Samples) -> wire::Peer {
+    wire::Peer {
+        from: from.instance.to_string(),
+        disk: from.disk.0,
+        epoch: 0,
+        body: wire::Body::Samples(samples),
+    }
+}
+
 /// A message of this instance.
 #[must_use]
 pub fn peer(peer: Peer) -> wire::Peer {
@@ -273,6 +301,16 @@
                     complaints,
                 }))
             }
+            wire::Body::Ask(question) => {
+                let count = question.services.len();
+                ensure!(count <= MAX_SERVICES, "{count} services");
+                Ok(Self::Ask(from, question))
+            }
+            wire::Body::Samples(samples) => {
+                let count = samples.samples.len();
+                ensure!(count <= MAX_SERVICES, "{count} samples");
+                Ok(Self::Samples(samples))
+            }
             body => Ok(Self::Peer(Peer {
                 from,
                 epoch,
@@ -344,7 +382,11 @@
             done,
         },
         wire::Body::SnapshotReply { offset } => Body::SnapshotReply { offset },
-        wire::Body::Hello { .. } | wire::Body::Introduce { .. } | wire::Body::Report { .. } => {
+        wire::Body::Hello { .. }
+        | wire::Body::Introduce { .. }
+        | wire::Body::Report { .. }
+        | wire::Body::Ask(_)
+        | wire::Body::Samples(_) => {
             anyhow::bail!("no message of the log")
         }
     })
--- a/components/control/src/join.rs
+++ b/components/control/src/join.rs
@@ -109,7 +109,12 @@
                 }
             }
             // Instances of this process find each other by their settings.
-            Ok(Incoming::Introduction(_) | Incoming::Report(_)) => {
+            Ok(
+                Incoming::Introduction(_)
+                | Incoming::Report(_)
+                | Incoming::Ask(..)
+                | Incoming::Samples(_),
+            ) => {
                 self.metrics.common.refusals.add("invalid");
             }
             Ok(Incoming::Peer(peer)) => {
--- a/components/coordinator/src/event.rs
+++ b/components/coordinator/src/event.rs
@@ -3,9 +3,9 @@
 use cluster::peers;
 use cluster::store::Done;
 use disk::{Native, Wal};
+use registry::Sample;
 use registry::change::{Command, Promotion, Status};
 use tokio::sync::mpsc;
-use types::Point;
 
 /// Identity of a stream from an entry, never used twice.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -15,7 +15,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ping {
     /// It leads, and its log ends here.
-    Leads(Point),
+    Leads(Sample),
     /// It answers but does not lead.
     Follows,
     /// It does not answer.
--- a/components/coordinator/src/fleet.rs
+++ b/components/coordinator/src/fleet.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use registry::Server;
+use clock::{Boot, Clock as _};
 use registry::change::{Command, Promotion, Status};
+use registry::{Sample, Server};
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
@@ -214,13 +215,14 @@
 async fn ping<F: Fleet>(open: &mut Option<F>, server: &Server) -> Event {
     let asked = timeout(PING_LIMIT, async {
         let mut conn = take(open, server).await?;
+        let at = Boot.moment();
         let end = conn.leads().await?;
-        anyhow::Ok((conn, end))
+        anyhow::Ok((conn, end.map(|point| Sample { point, at })))
     });
     let ping = match asked.await {
-        Ok(Ok((conn, end))) => {
+        Ok(Ok((conn, sample))) => {
             *open = Some(conn);
-            end.map_or(Ping::Follows, Ping::Leads)
+            sample.map_or(Ping::Follows, Ping::Leads)
         }
         Ok(Err(_)) | Err(_) => Ping::Silent,
     };
--- a/components/coordinator/src/lead.rs
+++ b/components/coordinator/src/lead.rs
@@ -6,8 +6,8 @@
 
 use cluster::convert::Report;
 use registry::change::{Action, Command, Signals, Verdict};
-use registry::{Machine, Registry};
-use types::{Name, Point};
+use registry::{Machine, Registry, Sample};
+use types::Name;
 
 use crate::event::Ping;
 use crate::fleet::Agent;
@@ -40,7 +40,7 @@
     /// It answered that it does not lead.
     follows: bool,
     /// End of its log when it led last.
-    led: Option<Point>,
+    led: Option<Sample>,
     /// Since when most entries miss it.
     missed_since: Option<Instant>,
     /// Until when nothing is held against it, as it has only begun to lead.
@@ -155,10 +155,10 @@
             return;
         };
         match ping {
-            Ping::Leads(end) => {
+            Ping::Leads(sample) => {
                 watch.answered_at = now;
                 (watch.follows, watch.closed) = (false, false);
-                watch.led = Some(end);
+                watch.led = Some(sample);
             }
             Ping::Follows => {
                 watch.answered_at = now;
@@ -169,6 +169,13 @@
         }
     }
 
+    /// The latest position of a service's primary.
+    #[must_use]
+    pub fn sample(&self, service: &str, registry: &Registry) -> Option<Sample> {
+        let primary = registry.primary(service)?;
+        self.watches.get(&primary.id)?.led
+    }
+
     /// Sends a command to a server.
     pub fn command(&self, id: &str, command: Command) {
         if let Some(watch) = self.watches.get(id) {
@@ -241,7 +248,7 @@
         out: &mut Vec<(String, Action)>,
     ) {
         let verdict = self.verdict(now, service, registry);
-        let led = |id: &str| self.watches.get(id)?.led;
+        let led = |id: &str| self.watches.get(id)?.led.map(|sample| sample.point);
         let terms = registry.members(service).filter_map(|it| led(&it.id));
         let term = terms.map(|end| end.term.0).max();
         let led = registry.primary(service).and_then(|it| led(&it.id));
--- a/components/coordinator/src/lib.rs
+++ b/components/coordinator/src/lib.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod metrics;
 mod process;
+mod samples;
 mod serve;
 mod subscribers;
 
--- a/components/coordinator/src/membership.rs
+++ b/components/coordinator/src/membership.rs
@@ -73,6 +73,8 @@
                     lead.on_report(now, report);
                 }
             }
+            Ok(Incoming::Ask(from, question)) => self.on_peer_question(&from, &question),
+            Ok(Incoming::Samples(answer)) => self.on_samples(answer),
             Ok(Incoming::Peer(peer)) => {
                 self.roster.on_contact(now, &peer.from.instance);
                 let mut actions = Vec::new();
@@ -116,6 +118,7 @@
         self.found(now)?;
         self.compact_if_quiet(now)?;
         self.report(now);
+        self.ask_leader();
         self.pulse(now);
         if self.lead.is_some() {
             self.keep_members(now, &intro)?;
--- a/components/coordinator/src/process.rs
+++ b/components/coordinator/src/process.rs
@@ -24,6 +24,7 @@
 use crate::lead::Lead;
 use crate::log;
 use crate::metrics::Set;
+use crate::samples::Samples;
 use crate::subscribers::Subscribers;
 
 /// Events that wait for the loop; senders wait beyond that.
@@ -92,6 +93,7 @@
     pub(crate) peers: Peers<Event>,
     pub(crate) roster: Roster,
     pub(crate) subscribers: Subscribers,
+    pub(crate) samples: Samples,
     pub(crate) registry: Registry,
     /// Set while this instance leads and its registry holds all earlier orders.
     pub(crate) lead: Option<Lead>,
@@ -218,6 +220,7 @@
             node,
             disk: store::Queue::new(wal),
             subscribers: Subscribers::default(),
+            samples: Samples::default(),
             registry,
             lead: None,
             waiting: BTreeMap::new(),
--- a/components/coordinator/src/serve.rs
+++ b/components/coordinator/src/serve.rs
@@ -263,6 +263,7 @@
                 tracing::info!(entry = instance, "entry subscribed");
                 self.subscribers.introduce(id, instance, &self.registry);
             }
+            wire::Subscribe::Ask(question) => self.on_question(id, question),
             wire::Subscribe::Complain(complaints) => {
                 if complaints.len() > MAX_COMPLAINTS {
                     self.subscribers.close(id);
--- a/components/coordinator/src/subscribers.rs
+++ b/components/coordinator/src/subscribers.rs
@@ -80,7 +80,8 @@
         counts.into_iter().map(complaint).collect()
     }
 
-    fn send(&mut self, id: StreamId, message: Publish) {
+    /// Sends a message to one entry.
+    pub fn send(&mut self, id: StreamId, message: Publish) {
         let failed = self
             .streams
             .get(&id)
--- a/components/proxy/src/answer.rs
+++ b/components/proxy/src/answer.rs
@@ -2,17 +2,17 @@
 
 use std::time::{Duration, Instant};
 
+use registry::Sample;
 use registry::plan::Format;
 use types::Point;
 
-use crate::clock::{Clock, Moment};
 use crate::event::{ConnKey, SessionKey};
-use crate::freshness::Sample;
 use crate::process::Loop;
 use crate::protocol::{Answer, Code, Protocol, State};
 use crate::refuse::Reason;
 use crate::server::{Ended, Expect};
 use crate::session::{Kind, Work};
+use clock::{Clock, Moment};
 
 /// Pause before a statement is tried again at a primary that does not lead yet, or no more.
 const NOT_LEADING: Duration = Duration::from_millis(60);
--- a/components/proxy/src/connection.rs
+++ b/components/proxy/src/connection.rs
@@ -10,18 +10,20 @@
 use tokio::time::timeout;
 use types::Point;
 
-use crate::clock::Clock;
 use crate::event::{ConnKey, Event, SessionKey};
 use crate::process::Loop;
 use crate::protocol::{Command, Forward, Protocol};
 use crate::server::{Conn, Expect};
 use crate::session::{Kind, Stage};
 use crate::timer::Timer;
+use clock::Clock;
 
 /// Time for a connection to a server.
 const OPEN_LIMIT: Duration = Duration::from_millis(500);
 /// Time after which a server that acknowledges no bytes counts as gone.
 const SILENCE: Duration = Duration::from_secs(3);
+/// Cause of the loss of a connection where nothing listens.
+pub const REFUSED: &str = "refused";
 /// How long a connection of the share stays idle, but for one that is kept.
 const IDLE: Duration = Duration::from_secs(10);
 /// How long a borrowed connection stays idle.
@@ -64,8 +66,11 @@
             Ok(socket) => socket,
             Err(error) => {
                 let server = &self.servers[conn.server];
-                tracing::info!(id = server.id, %error, "connection not opened");
-                return self.on_conn_lost(now, key, "not_opened");
+                if server.paused_until().is_none_or(|until| until <= now) {
+                    tracing::info!(id = server.id, %error, "connection not opened");
+                }
+                let refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
+                return self.on_conn_lost(now, key, if refused { REFUSED } else { "not_opened" });
             }
         };
         let events = self.events.clone();
--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -2,17 +2,18 @@
 
 use std::time::{Duration, Instant};
 
+use registry::Sample;
 use registry::plan::{Format, Freshness};
 
 use crate::choose::{Candidate, choose};
-use crate::clock::Clock;
 use crate::event::{ConnKey, SessionKey};
-use crate::freshness::{self, Sample};
+use crate::freshness;
 use crate::process::Loop;
 use crate::protocol::{Access, Protocol};
 use crate::refuse::Reason;
 use crate::session::{Kind, Stage, Work};
 use crate::timer::Timer;
+use clock::Clock;
 
 /// Statements that may wait for one service.
 const MAX_WAITING: usize = 300;
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -4,11 +4,11 @@
 
 use registry::plan::Format;
 
-use crate::clock::Clock;
 use crate::event::ConnKey;
 use crate::process::Loop;
 use crate::protocol::Protocol;
 use crate::server::{Server, Service};
+use clock::Clock;
 
 /// Connections of each server that are left to coordinators and to entries that have just started.
 const RESERVE: u32 = 4;
--- a/components/proxy/src/freshness.rs
+++ b/components/proxy/src/freshness.rs
@@ -3,25 +3,17 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use registry::Sample;
 use registry::plan::Freshness;
 use types::Point;
 
-use crate::clock::Moment;
+use clock::Moment;
 
 /// Time between two samples that are both kept.
 const SPACING: Duration = Duration::from_millis(25);
 /// Age of the oldest sample that is kept, by the latest one. Reads that accept more see this much.
 const KEPT: Duration = Duration::from_secs(10);
 
-/// A position of a primary that proved to lead.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Sample {
-    /// End of its log: covers every commit that was acknowledged before `at`.
-    pub point: Point,
-    /// When the question was sent that it answered.
-    pub at: Moment,
-}
-
 /// Samples of a service's primary, oldest first.
 ///
 /// Invariant: all are of one term, and neither positions nor moments fall. A promotion may roll
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -5,7 +5,6 @@
 //! believes decides where it tries first, and the server decides whether the statement runs.
 
 pub mod choose;
-pub mod clock;
 pub mod freshness;
 pub mod protocol;
 
@@ -27,6 +26,5 @@
 mod subscribe;
 mod timer;
 
-pub use clock::Clock;
 pub use process::run;
 pub use protocol::Protocol;
--- a/components/proxy/src/lost.rs
+++ b/components/proxy/src/lost.rs
@@ -4,7 +4,7 @@
 
 use registry::plan::Format;
 
-use crate::clock::Clock;
+use crate::connection::REFUSED;
 use crate::event::{ConnKey, SessionKey};
 use crate::process::Loop;
 use crate::protocol::{Code, Command, Protocol};
@@ -12,6 +12,7 @@
 use crate::server::Expect;
 use crate::session::{Kind, Stage, Work};
 use crate::timer::Timer;
+use clock::Clock;
 
 /// Time without an answer of a primary, while statements wait for one, after which it counts as
 /// unusable.
@@ -38,8 +39,10 @@
         self.close_conn(key);
         let server = &mut self.servers[index];
         let full = cause == Code::ConnectionLimit.label();
-        // Under a burst of openings a server drops some of them and serves on.
-        let crowded = starting && server.answered_at.is_some_and(|at| now < at + ALIVE);
+        // Under a burst of openings a server drops some of them and serves on. One that refuses them
+        // has ended, and would be dialled over and over.
+        let alive = server.answered_at.is_some_and(|at| now < at + ALIVE);
+        let crowded = starting && alive && cause != REFUSED;
         if server.listed && !full && !crowded && (starting || !idle) {
             server.on_failure(now);
             let (until, service) = (server.paused_until(), server.service);
@@ -256,7 +259,7 @@
     /// Closes sessions between transactions while a primary is missed for long, so that they come
     /// back through entries that reach it. They go in steps, as the primary may return.
     pub(crate) fn move_sessions(&mut self, now: Instant) {
-        if self.stop.is_some() || !self.is_missing(now, MOVED) {
+        if self.stop.is_some() || !self.is_cut_off(now, MOVED) {
             return;
         }
         let idle = |key: &SessionKey| self.sessions.get(*key).is_some_and(|s| s.is_idle());
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -15,7 +15,6 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
-use crate::clock::Clock;
 use crate::event::{ConnKey, Event, SessionKey};
 use crate::journal::Journal;
 use crate::metrics::Set;
@@ -25,6 +24,7 @@
 use crate::stop::Stop;
 use crate::subscribe::Subscription;
 use crate::timer::{Timer, Timers};
+use clock::Clock;
 
 /// Events that wait for the loop; senders wait beyond that.
 const EVENTS: usize = 4096;
--- a/components/proxy/src/refuse.rs
+++ b/components/proxy/src/refuse.rs
@@ -4,12 +4,12 @@
 
 use registry::plan::Format;
 
-use crate::clock::Clock;
 use crate::event::SessionKey;
 use crate::journal::Line;
 use crate::process::Loop;
 use crate::protocol::{Code, Protocol, State};
 use crate::session::{Kind, Stage, Work};
+use clock::Clock;
 
 /// Why a statement is not served.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -6,14 +6,17 @@
 use observe::http::{Request, Response};
 use registry::plan::Format;
 
-use crate::clock::Clock;
 use crate::process::Loop;
 use crate::protocol::Protocol;
+use clock::Clock;
 
 /// Time without a usable primary after which callers are better sent elsewhere. A change of
 /// primary is mostly over before.
 const MISSED: Duration = Duration::from_secs(1);
 
+/// Age up to which an answer of a primary to the coordinators shows that it can be reached.
+const HEARD: Duration = Duration::from_millis(900);
+
 impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
     /// Whether callers should be sent here.
     ///
@@ -33,17 +36,23 @@
         if !reached {
             return Err("no server reached yet");
         }
-        if self.is_missing(now, MISSED) {
-            return Err("a primary can't be used");
+        if self.is_cut_off(now, MISSED) {
+            return Err("a primary can't be used from here");
         }
         Ok(())
     }
 
-    /// Whether a primary could not be used for longer than `limit`. Other entries may reach it: this
-    /// one may be cut off, or its failure domain.
-    pub(crate) fn is_missing(&self, now: Instant, limit: Duration) -> bool {
-        let mut missed = self.services.iter().filter_map(|it| it.missed_since);
-        missed.any(|since| now >= since + limit)
+    /// Whether a primary could not be used from here for longer than `limit`, while others may reach
+    /// it: the coordinators have had an answer of it lately, or this entry has lost them as well. A
+    /// primary that is lost to all is no reason to send callers elsewhere.
+    pub(crate) fn is_cut_off(&self, now: Instant, limit: Duration) -> bool {
+        let alone = !self.subscription.is_current(now);
+        let moment = self.clock.moment();
+        self.services.iter().any(|it| {
+            let missed = it.missed_since.is_some_and(|since| now >= since + limit);
+            let heard = it.heard_at.is_some_and(|at| moment.since(at) < HEARD);
+            missed && (alone || heard)
+        })
     }
 
     pub(crate) fn on_request(&mut self, now: Instant, request: Request) {
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -5,12 +5,12 @@
 use std::time::{Duration, Instant};
 
 use crate::choose::Candidate;
-use crate::clock::Moment;
 use crate::event::{ConnKey, SessionKey};
 use crate::freshness::Track;
 use crate::protocol::Code;
 use ahash::HashSet;
 use bytes::BytesMut;
+use clock::Moment;
 use link::io;
 use registry::Life;
 
@@ -303,6 +303,10 @@
     pub primary: Option<usize>,
     /// Positions of the primary.
     pub track: Track,
+    /// When the last statement for it was received.
+    pub used_at: Option<Instant>,
+    /// When the coordinators last had an answer of the primary.
+    pub heard_at: Option<Moment>,
     /// Statements that wait.
     pub waiting: VecDeque<SessionKey>,
     /// Since when the primary can't be used.
@@ -343,6 +347,8 @@
             servers: Vec::new(),
             primary: None,
             track: Track::default(),
+            used_at: None,
+            heard_at: None,
             waiting: VecDeque::new(),
             missed_since: None,
             slow_since: None,
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -6,13 +6,13 @@
 use ahash::HashMap;
 use bytes::BytesMut;
 use link::io;
+use registry::Sample;
 use registry::plan::Freshness;
 use types::Point;
 
-use crate::clock::Moment;
 use crate::event::ConnKey;
-use crate::freshness::Sample;
 use crate::protocol::{Access, Body, Code, State};
+use clock::Moment;
 
 /// Values that a session may set.
 pub const MAX_VALUES: usize = 100;
--- a/components/proxy/src/settle.rs
+++ b/components/proxy/src/settle.rs
@@ -7,13 +7,13 @@
 use registry::plan::{Format, Freshness};
 use tokio::net::TcpStream;
 
-use crate::clock::Clock;
 use crate::event::{Event, SessionKey};
 use crate::process::Loop;
 use crate::protocol::{Access, Invalid, Protocol, Request, State, Statement};
 use crate::refuse::Reason;
 use crate::session::{Kind, MAX_PREPARED, MAX_VALUES, Route, Session, Stage, Transaction, Work};
 use crate::timer::Timer;
+use clock::Clock;
 
 /// Share of a statement's time that it may wait before it is refused, in percent. A caller that is
 /// refused has time left to try elsewhere.
@@ -351,6 +351,7 @@
             tried: Vec::new(),
             retried: None,
         });
+        self.services[route.service].used_at = Some(now);
         self.budget.on_request(now);
         if !self.dispatch(now, key) {
             self.enqueue(now, key);
--- a/components/proxy/src/stop.rs
+++ b/components/proxy/src/stop.rs
@@ -4,11 +4,11 @@
 
 use registry::plan::Format;
 
-use crate::clock::Clock;
 use crate::event::SessionKey;
 use crate::process::Loop;
 use crate::protocol::Protocol;
 use crate::refuse::Reason;
+use clock::Clock;
 
 /// Time in which a load balancer notices that the entry is not ready. Sessions that are closed
 /// before would come back here.
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -4,24 +4,28 @@
 use std::time::{Duration, Instant};
 
 use registry::plan::Format;
-use registry::{Order, Registry};
+use registry::{Order, Registry, Sample};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use types::Name;
-use wire::{Complaint, Publish, Subscribe};
+use wire::{Complaint, Publish, Question, Subscribe};
 
-use crate::clock::Clock;
 use crate::event::Event;
 use crate::process::Loop;
 use crate::protocol::Protocol;
 use crate::server::Service;
 use crate::timer::Timer;
+use clock::{Clock, Moment};
 
 /// Pause before the next coordinator is dialled.
 const RETRY: Duration = Duration::from_millis(100);
 /// Time without a sign that the coordinator is in contact with a leader, after which another one is
 /// dialled. Several pulses are sent in this time.
 const SILENCE: Duration = Duration::from_millis(900);
+/// Age from which a sample of a primary is worth a question.
+const OLD: Duration = Duration::from_millis(250);
+/// Time after the last statement for a service in which positions of its primary are asked for.
+const USED: Duration = Duration::from_secs(5);
 /// Entries that are assumed before a coordinator has told their number.
 const ASSUMED: u32 = 16;
 /// Complaints that wait for the stream.
@@ -51,6 +55,8 @@
     /// Number of the present dial; events of earlier ones are dropped.
     dial: u64,
     state: State,
+    /// Number of the latest question for positions of primaries, and when it was sent.
+    asked: (u64, Moment),
     /// What was complained of last.
     complaints: Vec<(String, String)>,
     /// Entries of the whole system.
@@ -71,6 +77,7 @@
             next: spread,
             dial: 0,
             state: State::Down(now),
+            asked: Default::default(),
             complaints: Vec::new(),
             entries: ASSUMED,
         }
@@ -81,6 +88,11 @@
         self.entries.max(1)
     }
 
+    /// Whether a coordinator that is in contact with a leader was heard of lately.
+    pub fn is_current(&self, now: Instant) -> bool {
+        matches!(&self.state, State::Up { silent_at, .. } if now < *silent_at)
+    }
+
     /// Takes other seeds.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
@@ -105,7 +117,10 @@
                 tracing::warn!("coordinator is silent or has lost its leader");
                 self.metrics.common.retries.add("coordinator");
             }
-            _ => return self.complain(now),
+            _ => {
+                self.complain(now);
+                return self.ask(now);
+            }
         }
         let Some(address) = self.subscription.address() else {
             return;
@@ -203,6 +218,44 @@
                 let known = coordinators.iter().filter_map(|it| it.parse().ok());
                 self.subscription.known = known.collect();
             }
+            Publish::Samples(answer) => self.on_samples(&answer),
+        }
+    }
+
+    /// Asks for positions of the primaries whose own samples are old. Few statements of an entry run
+    /// on each primary, and reads that accept an age should not go there for a sample alone.
+    fn ask(&mut self, now: Instant) {
+        let State::Up { out, .. } = &self.subscription.state else {
+            return;
+        };
+        let moment = self.clock.moment();
+        let wanted = self.services.iter().filter(|it| {
+            let used = it.used_at.is_some_and(|at| now < at + USED);
+            used && it.track.age(moment).is_none_or(|age| age > OLD)
+        });
+        let services: Vec<String> = wanted.map(|it| it.name.clone()).collect();
+        if services.is_empty() {
+            return;
+        }
+        let number = self.subscription.asked.0 + 1;
+        let question = Question { number, services };
+        if out.try_send(Subscribe::Ask(question)).is_ok() {
+            self.subscription.asked = (number, moment);
+        }
+    }
+
+    fn on_samples(&mut self, answer: &wire::Samples) {
+        let (number, asked) = self.subscription.asked;
+        if answer.number != number {
+            return;
+        }
+        for told in &answer.samples {
+            if let Some(index) = self.names.get(&told.service) {
+                let sample = Sample::heard(told, asked);
+                self.services[*index].track.observe(sample);
+                self.services[*index].heard_at = Some(sample.at);
+                self.due.push(*index);
+            }
         }
     }
 
--- a/components/proxy/tests/freshness.rs
+++ b/components/proxy/tests/freshness.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use proxy::clock::Moment;
-use proxy::freshness::{Sample, Track, needed};
+use clock::Moment;
+use proxy::freshness::{Track, needed};
+use registry::Sample;
 use registry::plan::Freshness;
 use rstest::rstest;
 use types::{Lsn, Point, Term};
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -4,10 +4,12 @@
 pub mod change;
 pub mod convert;
 pub mod plan;
+pub mod sample;
 pub mod server;
 pub mod state;
 
 pub use change::Machine;
 pub use plan::Plan;
+pub use sample::Sample;
 pub use server::{Life, Server};
 pub use state::{Order, Outcome, Registry};
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -125,24 +125,6 @@
     pub answers: Vec<Answer>,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Change {
-    pub base: u64,
-    pub request: String,
-    pub operator: String,
-}
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub enum Command {
-    Set { path: String, key: String, value: Option<String>, change: Change },
-    Announce(Announcement),
-    Mark { target: String, state: State, change: Change },
-    Enroll { instance: String, domain: String },
-    Fence { database: String, term: u64, hold: bool, reason: String },
-    Choose { database: String, term: u64, target: String, point: Point },
-    Open { database: String, term: u64, target: String, start: u64 },
-    Retire { target: String },
-    Dismiss { instance: String },
-}
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Complaint {
     pub service: String,
     pub id: String,
@@ -173,6 +155,22 @@
     pub payload: Payload,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Question {
+    pub number: u64,
+    pub services: Vec<String>,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Sample {
+    pub service: String,
+    pub point: Point,
+    pub age_ms: u32,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Samples {
+    pub number: u64,
+    pub samples: Vec<Sample>,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Body {
     PreVote { last_index: u64, last_epoch: u64 },
     PreVoteReply { granted: bool },
@@ -207,19 +205,26 @@
         known: Vec<String>,
     },
     Report { entries: u32, complaints: Vec<Complaint> },
+    Ask(Question),
+    Samples(Samples),
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Ended {
-    pub id: String,
-    pub born: u64,
-    pub sequence: u64,
+pub struct Change {
+    pub base: u64,
+    pub request: String,
+    pub operator: String,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Leader {
-    pub service: String,
-    pub id: String,
-    pub token: u64,
-    pub confirmed: bool,
+pub enum Command {
+    Set { path: String, key: String, value: Option<String>, change: Change },
+    Announce(Announcement),
+    Mark { target: String, state: State, change: Change },
+    Enroll { instance: String, domain: String },
+    Fence { database: String, term: u64, hold: bool, reason: String },
+    Choose { database: String, term: u64, target: String, point: Point },
+    Open { database: String, term: u64, target: String, start: u64 },
+    Retire { target: String },
+    Dismiss { instance: String },
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Server {
@@ -234,6 +239,27 @@
     pub sequence: u64,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Order {
+    Plan { version: u64, body: Bytes },
+    Register(Server),
+    Remove { id: String, born: u64, sequence: u64 },
+    Lead { service: String, id: String },
+    Confirm { service: String, token: u64 },
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Ended {
+    pub id: String,
+    pub born: u64,
+    pub sequence: u64,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Leader {
+    pub service: String,
+    pub id: String,
+    pub token: u64,
+    pub confirmed: bool,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Registry {
     pub revision: u64,
     pub version: u64,
@@ -243,6 +269,13 @@
     pub leaders: Vec<Leader>,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Publish {
+    Snapshot(Registry),
+    Update { revision: u64, order: Order },
+    Pulse { current: bool, entries: u32, coordinators: Vec<String> },
+    Samples(Samples),
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
     pub target: String,
     pub connections: u32,
@@ -282,18 +315,10 @@
     Redirect { leader: Option<String> },
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub enum Order {
-    Plan { version: u64, body: Bytes },
-    Register(Server),
-    Remove { id: String, born: u64, sequence: u64 },
-    Lead { service: String, id: String },
-    Confirm { service: String, token: u64 },
-}
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub enum Publish {
-    Snapshot(Registry),
-    Update { revision: u64, order: Order },
-    Pulse { current: bool, entries: u32, coordinators: Vec<String> },
+pub enum Subscribe {
+    Open { version: u32, instance: String, domain: String },
+    Complain(Vec<Complaint>),
+    Ask(Question),
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Peer {
@@ -302,8 +327,3 @@
     pub epoch: u64,
     pub body: Body,
 }
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub enum Subscribe {
-    Open { version: u32, instance: String, domain: String },
-    Complain(Vec<Complaint>),
-}
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -2,8 +2,8 @@
 
 use std::process::ExitCode;
 
+use clock::Boot;
 use platform::{Document, Line};
-use proxy::clock::Boot;
 
 fn main() -> ExitCode {
     let about = "Takes sessions of callers and places their statements on servers";
