--- a/components/cluster/src/convert.rs
+++ b/components/cluster/src/convert.rs
@@ -21,6 +21,8 @@
     Ask(Identity, wire::Question),
     /// Positions of primaries.
     Samples(wire::Samples),
+    /// The entries that are subscribed to the sender.
+    Entries(Name, Vec<wire::Neighbour>),
 }
 
 /// A control instance introduces itself.
@@ -55,8 +57,6 @@
     pub blank: bool,
     /// The whole system starts for the first time.
     pub founding: bool,
-    /// Entries that are subscribed to it.
-    pub entries: u32,
     /// Link addresses of the instances that it knows.
     pub known: Vec<SocketAddr>,
 }
@@ -76,6 +76,8 @@
 const MAX_KNOWN: usize = 64;
 /// Services that one question may name.
 pub const MAX_SERVICES: usize = 10_000;
+/// Entries that one instance may name.
+const MAX_ENTRIES: usize = 10_000;
 /// Complaints that one report may hold.
 const MAX_COMPLAINTS: usize = 10_000;
 
@@ -93,7 +95,6 @@
             domain: intro.domain.to_string(),
             blank: intro.blank,
             founding: intro.founding,
-            entries: intro.entries,
             known: intro.known.iter().map(SocketAddr::to_string).collect(),
         },
     }
@@ -135,6 +136,17 @@
     }
 }
 
+/// The entries that are subscribed to this instance.
+#[must_use]
+pub fn entries(from: &Identity, entries: Vec<wire::Neighbour>) -> wire::Peer {
+    wire::Peer {
+        from: from.instance.to_string(),
+        disk: from.disk.0,
+        epoch: 0,
+        body: wire::Body::Entries(entries),
+    }
+}
+
 /// A message of this instance.
 #[must_use]
 pub fn peer(peer: Peer) -> wire::Peer {
@@ -272,7 +284,6 @@
                 domain,
                 blank,
                 founding,
-                entries,
                 known,
             } => {
                 ensure!(known.len() <= MAX_KNOWN, "{} known instances", known.len());
@@ -285,7 +296,6 @@
                     domain: Name::try_from(domain).context("domain")?,
                     blank,
                     founding,
-                    entries,
                     known: known.collect::<Result<_, _>>().context("known address")?,
                 }))
             }
@@ -311,6 +321,11 @@
                 ensure!(count <= MAX_SERVICES, "{count} samples");
                 Ok(Self::Samples(samples))
             }
+            wire::Body::Entries(entries) => {
+                let count = entries.len();
+                ensure!(count <= MAX_ENTRIES, "{count} entries");
+                Ok(Self::Entries(from.instance, entries))
+            }
             body => Ok(Self::Peer(Peer {
                 from,
                 epoch,
@@ -386,7 +401,8 @@
         | wire::Body::Introduce { .. }
         | wire::Body::Report { .. }
         | wire::Body::Ask(_)
-        | wire::Body::Samples(_) => {
+        | wire::Body::Samples(_)
+        | wire::Body::Entries(_) => {
             anyhow::bail!("no message of the log")
         }
     })
--- a/components/cluster/src/roster.rs
+++ b/components/cluster/src/roster.rs
@@ -132,13 +132,6 @@
         self.heard.get(instance).map(|heard| &heard.intro)
     }
 
-    /// Entries that are subscribed to other instances.
-    #[must_use]
-    pub fn entries(&self, now: Instant) -> u32 {
-        let present = self.heard.values().filter(|it| now < it.at + PRESENT);
-        present.map(|it| it.intro.entries).sum()
-    }
-
     /// Addresses to keep streams to: the seeds, the members, and whoever was heard of lately.
     pub fn addresses(&mut self, now: Instant, members: &[Member]) -> BTreeSet<SocketAddr> {
         self.rumours.retain(|_, at| now < *at + RUMOUR);
--- a/components/cluster/tests/roster.rs
+++ b/components/cluster/tests/roster.rs
@@ -33,7 +33,6 @@
         domain: name(domain),
         blank,
         founding: true,
-        entries: 0,
         known: Vec::new(),
     }
 }
--- a/components/control/src/join.rs
+++ b/components/control/src/join.rs
@@ -113,7 +113,8 @@
                 Incoming::Introduction(_)
                 | Incoming::Report(_)
                 | Incoming::Ask(..)
-                | Incoming::Samples(_),
+                | Incoming::Samples(_)
+                | Incoming::Entries(..),
             ) => {
                 self.metrics.common.refusals.add("invalid");
             }
--- a/components/coordinator/src/event.rs
+++ b/components/coordinator/src/event.rs
@@ -3,6 +3,7 @@
 use cluster::peers;
 use cluster::store::Done;
 use disk::{Native, Wal};
+use link::Frame;
 use registry::Sample;
 use registry::change::{Command, Promotion, Status};
 use tokio::sync::mpsc;
@@ -30,7 +31,7 @@
     /// Streams to other coordinators.
     Peer(peers::Event),
     /// An entry opened a stream.
-    EntryOpen(StreamId, mpsc::Sender<wire::Publish>),
+    EntryOpen(StreamId, mpsc::Sender<Frame>),
     /// A message of an entry, or the end of its stream.
     Entry(StreamId, link::Event<wire::Subscribe>),
     /// A batch of writes has ended.
--- a/components/coordinator/src/lib.rs
+++ b/components/coordinator/src/lib.rs
@@ -9,6 +9,7 @@
 mod log;
 mod membership;
 mod metrics;
+pub mod neighbours;
 mod process;
 mod samples;
 mod serve;
--- a/components/coordinator/src/log.rs
+++ b/components/coordinator/src/log.rs
@@ -6,7 +6,8 @@
 use cluster::{convert, store};
 use consensus::{Action, Entry, Epoch, Payload, Position, Refusal, Role};
 use disk::{Native, Wal};
-use registry::{Order, Registry};
+use registry::plan::Format as _;
+use registry::{Order, Plan, Registry};
 use types::Name;
 
 use crate::api::Api;
@@ -115,7 +116,8 @@
         self.registry = decode(&snapshot.data).context("registry of the snapshot")?;
         self.applied = snapshot.position.index;
         self.compacted = self.applied;
-        self.subscribers.reset(&self.registry);
+        self.plan = plan::<A>(&self.registry);
+        self.subscribers.reset(&self.registry, &self.plan);
         Ok(())
     }
 
@@ -158,11 +160,15 @@
             }
             other => tracing::info!(index, order = ?other, ?outcome, "order"),
         }
-        let update = wire::Publish::Update {
-            revision: index,
-            order: raw,
-        };
-        self.subscribers.publish(&update);
+        if let Order::Plan { .. } = &order {
+            self.publish_plan();
+        } else {
+            let update = wire::Publish::Update {
+                revision: index,
+                order: raw,
+            };
+            self.subscribers.publish(&update);
+        }
         if let Order::Confirm { service, .. } = &order
             && let Some(lead) = &mut self.lead
             && let Some(chosen) = self.registry.leader(service)
@@ -186,6 +192,17 @@
         Ok(())
     }
 
+    /// Tells the entries what has changed in the plan.
+    fn publish_plan(&mut self) {
+        if self.registry.version() <= self.plan.version {
+            return;
+        }
+        let next = plan::<A>(&self.registry);
+        let change = next.change_from(&self.plan);
+        self.plan = next;
+        self.subscribers.publish(&wire::Publish::Plan(change));
+    }
+
     /// Takes a snapshot once the log has come to rest.
     pub(crate) fn compact_if_quiet(&mut self, now: Instant) -> Result<()> {
         if self.applied > self.compacted && now >= self.applied_at + QUIET {
@@ -205,6 +222,21 @@
     }
 }
 
+/// The plan in a registry's document; an empty one before the first.
+pub fn plan<A: Api>(registry: &Registry) -> Plan {
+    let read = registry.body().map(A::Format::read);
+    match read {
+        None => Plan::default(),
+        Some(Ok(plan)) => plan,
+        // It was checked before it was committed, so that this build reads plans otherwise.
+        Some(Err(findings)) => {
+            let version = registry.version();
+            tracing::error!(version, ?findings, "plan not readable");
+            Plan::default()
+        }
+    }
+}
+
 /// The registry of a snapshot; an empty one without bytes.
 pub fn decode(bytes: &[u8]) -> Result<Registry> {
     if bytes.is_empty() {
--- a/components/coordinator/src/membership.rs
+++ b/components/coordinator/src/membership.rs
@@ -28,7 +28,6 @@
             // receive its introduction only after it has founded the cluster.
             blank: self.node.last().index <= FOUNDING_INDEX,
             founding: self.settings.founding,
-            entries: u32::try_from(self.subscribers.count()).unwrap_or(u32::MAX),
             known: self.roster.known(now, self.node.members()),
         }
     }
@@ -75,6 +74,7 @@
             }
             Ok(Incoming::Ask(from, question)) => self.on_peer_question(&from, &question),
             Ok(Incoming::Samples(answer)) => self.on_samples(answer),
+            Ok(Incoming::Entries(from, entries)) => self.neighbours.on_told(now, from, entries),
             Ok(Incoming::Peer(peer)) => {
                 self.roster.on_contact(now, &peer.from.instance);
                 let mut actions = Vec::new();
@@ -119,6 +119,7 @@
         self.compact_if_quiet(now)?;
         self.report(now);
         self.ask_leader();
+        self.tell_entries(now);
         self.pulse(now);
         if self.lead.is_some() {
             self.keep_members(now, &intro)?;
--- a/components/coordinator/src/process.rs
+++ b/components/coordinator/src/process.rs
@@ -13,7 +13,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use registry::change::Action;
-use registry::{Order, Registry};
+use registry::{Order, Plan, Registry};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
@@ -24,6 +24,7 @@
 use crate::lead::Lead;
 use crate::log;
 use crate::metrics::Set;
+use crate::neighbours::Neighbours;
 use crate::samples::Samples;
 use crate::subscribers::Subscribers;
 
@@ -94,7 +95,10 @@
     pub(crate) roster: Roster,
     pub(crate) subscribers: Subscribers,
     pub(crate) samples: Samples,
+    pub(crate) neighbours: Neighbours,
     pub(crate) registry: Registry,
+    /// The plan that the registry holds as a document.
+    pub(crate) plan: Plan,
     /// Set while this instance leads and its registry holds all earlier orders.
     pub(crate) lead: Option<Lead>,
     /// Orders by their index.
@@ -221,6 +225,8 @@
             disk: store::Queue::new(wal),
             subscribers: Subscribers::default(),
             samples: Samples::default(),
+            neighbours: Neighbours::new(now),
+            plan: log::plan::<A>(&registry),
             registry,
             lead: None,
             waiting: BTreeMap::new(),
--- a/components/coordinator/src/samples.rs
+++ b/components/coordinator/src/samples.rs
@@ -57,7 +57,7 @@
             return self.subscribers.close(id);
         }
         let samples = self.answer(&question);
-        self.subscribers.send(id, Publish::Samples(samples));
+        self.subscribers.send(id, &Publish::Samples(samples));
         if self.lead.is_none() {
             self.samples.wanted.extend(question.services);
         }
--- a/components/coordinator/src/serve.rs
+++ b/components/coordinator/src/serve.rs
@@ -251,7 +251,10 @@
     ) -> Result<()> {
         match message {
             wire::Subscribe::Open {
-                version, instance, ..
+                version,
+                instance,
+                domain,
+                address,
             } => {
                 if version != wire::VERSION {
                     self.metrics.common.refusals.add("version");
@@ -261,7 +264,24 @@
                 // Without a leader as well: an entry that has just started can serve with what was
                 // known last, and goes elsewhere unless a pulse tells that this is current.
                 tracing::info!(entry = instance, "entry subscribed");
-                self.subscribers.introduce(id, instance, &self.registry);
+                let known = self.neighbours.of(&domain).cloned();
+                let entry = wire::Neighbour {
+                    instance,
+                    domain,
+                    address,
+                };
+                self.subscribers
+                    .introduce(id, entry, &self.registry, &self.plan);
+                if let Some(entries) = known {
+                    self.subscribers.send(id, &wire::Publish::Entries(entries));
+                }
+            }
+            wire::Subscribe::Leave => {
+                if let Some(entry) = self.subscribers.leave(id) {
+                    tracing::info!(entry, "entry stops");
+                    self.neighbours.on_left(&entry);
+                    self.tell_entries(now);
+                }
             }
             wire::Subscribe::Ask(question) => self.on_question(id, question),
             wire::Subscribe::Complain(complaints) => {
@@ -299,13 +319,26 @@
         }
     }
 
+    /// Tells the other instances of the own entries, and the entries of a failure domain of each other.
+    pub(crate) fn tell_entries(&mut self, now: Instant) {
+        let own = self.subscribers.entries();
+        if let Some(entries) = self.neighbours.due(now, &own) {
+            let message = cluster::convert::entries(self.node.identity(), entries);
+            self.peers.send_all(&message);
+        }
+        for (domain, entries) in self.neighbours.follow(now, own) {
+            tracing::info!(domain, entries = entries.len(), "entries changed");
+            self.subscribers.publish_in(&domain, &entries);
+        }
+    }
+
     /// Tells the entries whether this instance is in contact with a leader.
     pub(crate) fn pulse(&mut self, now: Instant) {
         let known = self.roster.known(now, self.node.members());
-        let own = u32::try_from(self.subscribers.count()).unwrap_or(u32::MAX);
+        let entries = self.neighbours.count(now).unwrap_or(0);
         let pulse = wire::Publish::Pulse {
             current: self.is_current(now),
-            entries: self.roster.entries(now).saturating_add(own),
+            entries: u32::try_from(entries).unwrap_or(u32::MAX),
             coordinators: known.iter().map(ToString::to_string).collect(),
         };
         self.subscribers.publish(&pulse);
--- a/components/coordinator/src/subscribers.rs
+++ b/components/coordinator/src/subscribers.rs
@@ -2,17 +2,20 @@
 
 use std::collections::BTreeMap;
 
-use registry::Registry;
+use link::Frame;
+use registry::{Plan, Registry};
 use tokio::sync::mpsc;
-use wire::{Complaint, Publish};
+use wire::{Complaint, Neighbour, Publish};
 
 use crate::event::StreamId;
 
 #[derive(Debug)]
 struct Stream {
-    out: mpsc::Sender<Publish>,
-    /// Name of the entry, once it has introduced itself; it then gets every order.
-    entry: Option<String>,
+    out: mpsc::Sender<Frame>,
+    /// The entry, once it has introduced itself; it then gets every order.
+    entry: Option<Neighbour>,
+    /// The entry stops.
+    leaving: bool,
     /// Primaries that it can't use, as (service, identity).
     complaints: Vec<(String, String)>,
 }
@@ -21,14 +24,18 @@
 #[derive(Debug, Default)]
 pub struct Subscribers {
     streams: BTreeMap<StreamId, Stream>,
+    /// The registry of a revision and the plan of a version, as entries that subscribe are told.
+    registry: Option<(u64, Frame)>,
+    plan: Option<(u64, Frame)>,
 }
 
 impl Subscribers {
     /// A stream was opened.
-    pub fn open(&mut self, id: StreamId, out: mpsc::Sender<Publish>) {
+    pub fn open(&mut self, id: StreamId, out: mpsc::Sender<Frame>) {
         let stream = Stream {
             out,
             entry: None,
+            leaving: false,
             complaints: Vec::new(),
         };
         self.streams.insert(id, stream);
@@ -47,14 +54,59 @@
     }
 
     /// An entry introduced itself: it gets the whole registry.
-    pub fn introduce(&mut self, id: StreamId, entry: String, registry: &Registry) {
+    pub fn introduce(&mut self, id: StreamId, entry: Neighbour, registry: &Registry, plan: &Plan) {
         // A process that reconnects before its old stream is known to have ended.
+        let same = |stream: &Stream| {
+            let known = stream.entry.as_ref();
+            known.is_some_and(|known| known.instance == entry.instance)
+        };
         self.streams
-            .retain(|known, stream| *known == id || stream.entry.as_ref() != Some(&entry));
+            .retain(|known, stream| *known == id || !same(stream));
         if let Some(stream) = self.streams.get_mut(&id) {
             stream.entry = Some(entry);
         }
-        self.send(id, Publish::Snapshot(registry.into()));
+        self.send_whole(id, registry, plan);
+    }
+
+    fn send_whole(&mut self, id: StreamId, registry: &Registry, plan: &Plan) {
+        if self.plan.as_ref().is_none_or(|(at, _)| *at != plan.version) {
+            let whole = Publish::Plan(plan.change_from(&Plan::default()));
+            self.plan = encode(&whole).map(|frame| (plan.version, frame));
+        }
+        let revision = registry.revision();
+        if self.registry.as_ref().is_none_or(|(at, _)| *at != revision) {
+            let whole = Publish::Snapshot((&registry.without_document()).into());
+            self.registry = encode(&whole).map(|frame| (revision, frame));
+        }
+        let plan = self.plan.clone().filter(|_| plan.version > 0);
+        for (_, frame) in [plan, self.registry.clone()].into_iter().flatten() {
+            self.send_frame(id, frame);
+        }
+    }
+
+    /// An entry stops. Returns its name.
+    pub fn leave(&mut self, id: StreamId) -> Option<String> {
+        let stream = self.streams.get_mut(&id)?;
+        stream.leaving = true;
+        stream.entry.as_ref().map(|it| it.instance.clone())
+    }
+
+    /// The introduced entries that stay.
+    #[must_use]
+    pub fn entries(&self) -> Vec<Neighbour> {
+        let streams = self.streams.values().filter(|stream| !stream.leaving);
+        streams.filter_map(|stream| stream.entry.clone()).collect()
+    }
+
+    /// Tells the entries of a failure domain of each other.
+    pub fn publish_in(&mut self, domain: &str, entries: &[Neighbour]) {
+        let Some(frame) = encode(&Publish::Entries(entries.to_vec())) else {
+            return;
+        };
+        self.streams.retain(|_, stream| {
+            let concerned = stream.entry.as_ref().is_some_and(|it| it.domain == domain);
+            !concerned || stream.out.try_send(frame.clone()).is_ok()
+        });
     }
 
     /// Replaces what an entry complains of.
@@ -81,11 +133,17 @@
     }
 
     /// Sends a message to one entry.
-    pub fn send(&mut self, id: StreamId, message: Publish) {
+    pub fn send(&mut self, id: StreamId, message: &Publish) {
+        if let Some(frame) = encode(message) {
+            self.send_frame(id, frame);
+        }
+    }
+
+    fn send_frame(&mut self, id: StreamId, frame: Frame) {
         let failed = self
             .streams
             .get(&id)
-            .is_some_and(|stream| stream.out.try_send(message).is_err());
+            .is_some_and(|stream| stream.out.try_send(frame).is_err());
         if failed {
             self.streams.remove(&id);
         }
@@ -93,13 +151,30 @@
 
     /// Sends a message to all introduced entries.
     pub fn publish(&mut self, message: &Publish) {
+        let Some(frame) = encode(message) else {
+            return;
+        };
         self.streams.retain(|_, stream| {
-            stream.entry.is_none() || stream.out.try_send(message.clone()).is_ok()
+            stream.entry.is_none() || stream.out.try_send(frame.clone()).is_ok()
         });
     }
 
-    /// Sends the whole registry to all introduced entries, as it was replaced.
-    pub fn reset(&mut self, registry: &Registry) {
-        self.publish(&Publish::Snapshot(registry.into()));
+    /// Sends registry and plan to all introduced entries, as they were replaced.
+    pub fn reset(&mut self, registry: &Registry, plan: &Plan) {
+        let introduced = self.streams.iter().filter(|(_, it)| it.entry.is_some());
+        for id in introduced.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.send_whole(id, registry, plan);
+        }
+    }
+}
+
+/// None if the message is too large to be sent.
+fn encode(message: &Publish) -> Option<Frame> {
+    match Frame::new(message) {
+        Ok(frame) => Some(frame),
+        Err(error) => {
+            tracing::error!(error = %format!("{error:#}"), "message for entries not sent");
+            None
+        }
     }
 }
--- a/components/link/src/frame.rs
+++ b/components/link/src/frame.rs
@@ -8,6 +8,41 @@
 /// Bytes of the length before a message.
 const HEADER: usize = 4;
 
+/// A message that is encoded once for many streams.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Frame(Bytes);
+
+impl Frame {
+    /// Encodes a message.
+    ///
+    /// # Errors
+    /// Fails if the message is too large.
+    pub fn new<O: Serialize>(message: &O) -> Result<Self> {
+        encode(message).map(Self)
+    }
+}
+
+/// What a stream sends.
+pub trait Outgoing {
+    /// Its bytes, with their length before them.
+    ///
+    /// # Errors
+    /// Fails if the message is too large.
+    fn frame(&self) -> Result<Bytes>;
+}
+
+impl<O: Serialize> Outgoing for O {
+    fn frame(&self) -> Result<Bytes> {
+        encode(self)
+    }
+}
+
+impl Outgoing for Frame {
+    fn frame(&self) -> Result<Bytes> {
+        Ok(self.0.clone())
+    }
+}
+
 /// Encodes a message with its length before it.
 pub fn encode<O: Serialize>(message: &O) -> Result<Bytes> {
     let mut out = vec![0; HEADER];
--- a/components/link/src/stream.rs
+++ b/components/link/src/stream.rs
@@ -8,13 +8,13 @@
 use bytes::{Bytes, BytesMut};
 use h2::{RecvStream, SendStream};
 use http::{Request, Response};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::frame::Outgoing;
 use crate::{frame, socket};
 
 /// Time for the connection and the HTTP/2 handshake of a new stream.
@@ -136,7 +136,7 @@
         wrap: impl Fn(Event<I>) -> E,
     ) where
         I: DeserializeOwned,
-        O: Serialize,
+        O: Outgoing,
     {
         let mut buffer = BytesMut::new();
         let error = loop {
@@ -180,8 +180,8 @@
     Ok(true)
 }
 
-async fn write<O: Serialize>(send: &mut SendStream<Bytes>, message: &O) -> Result<()> {
-    let mut bytes = frame::encode(message)?;
+async fn write<O: Outgoing>(send: &mut SendStream<Bytes>, message: &O) -> Result<()> {
+    let mut bytes = message.frame()?;
     while !bytes.is_empty() {
         send.reserve_capacity(bytes.len());
         let capacity = poll_fn(|context| send.poll_capacity(context)).await;
--- a/components/proxy/src/answer.rs
+++ b/components/proxy/src/answer.rs
@@ -3,7 +3,6 @@
 use std::time::{Duration, Instant};
 
 use registry::Sample;
-use registry::plan::Format;
 use types::Point;
 
 use crate::event::{ConnKey, SessionKey};
@@ -23,7 +22,7 @@
 /// Bytes of one answer that are held back until it is complete.
 const MAX_ANSWER: usize = 8 << 20;
 
-impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
+impl<P: Protocol, C: Clock> Loop<P, C> {
     /// Takes one message of a server. False once the connection is gone.
     pub(crate) fn on_answer(
         &mut self,
--- a/components/proxy/src/connection.rs
+++ b/components/proxy/src/connection.rs
@@ -4,7 +4,6 @@
 
 use bytes::Buf as _;
 use link::io;
-use registry::plan::Format;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -31,9 +30,20 @@
 /// Time after which an opened connection has to have answered.
 const STARTUP: Duration = Duration::from_millis(1500);
 
-impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
-    /// Starts opening a connection.
-    pub(crate) fn open(&mut self, now: Instant, index: usize) {
+impl<P: Protocol, C: Clock> Loop<P, C> {
+    /// Starts opening a connection, or asks another entry for one. Among those who wait there, the
+    /// lowest rank goes first.
+    pub(crate) fn open(&mut self, now: Instant, index: usize, rank: u8) {
+        if !self.servers[index].borrows {
+            return self.open_own(now, index);
+        }
+        if !self.ask_lender(now, index, rank) && self.servers[index].has_own_room(now) {
+            self.open_own(now, index);
+        }
+    }
+
+    /// Starts opening a connection of this entry's own.
+    pub(crate) fn open_own(&mut self, now: Instant, index: usize) {
         let server = &mut self.servers[index];
         let key = self.conns.insert(Conn::new(index, now));
         server.conns.push(key);
@@ -88,6 +98,12 @@
         };
         match event {
             io::Event::Bytes(bytes) => {
+                if self.pass_on(now, key, &bytes) {
+                    return;
+                }
+                let Some(conn) = self.conns.get_mut(key) else {
+                    return;
+                };
                 if conn.inbox.is_empty() {
                     conn.inbox = bytes;
                 } else {
@@ -107,6 +123,14 @@
         }
     }
 
+    /// Takes bytes of a server that came through another entry.
+    pub(crate) fn on_bytes(&mut self, now: Instant, key: ConnKey, bytes: &[u8]) {
+        if let Some(conn) = self.conns.get_mut(key) {
+            conn.inbox.extend_from_slice(bytes);
+            self.read_answers(now, key);
+        }
+    }
+
     /// Takes the complete messages of a server.
     fn read_answers(&mut self, now: Instant, key: ConnKey) {
         let Some(conn) = self.conns.get_mut(key) else {
@@ -162,9 +186,10 @@
             self.servers[conn.server].running += 1;
         }
         conn.since = now;
-        if conn.values != session.values {
+        if conn.stale || conn.values != session.values {
             let known = |name: &String| session.values.contains_key(name);
-            if !conn.values.keys().all(known) {
+            if conn.stale || !conn.values.keys().all(known) {
+                conn.stale = false;
                 P::command(&mut conn.out, Command::Reset);
                 conn.expected.push_back(Expect::Setup);
                 conn.values.clear();
@@ -258,6 +283,9 @@
             return;
         }
         let service = server.service;
+        if conn.loan.is_some() {
+            self.lenders.idle.push(key);
+        }
         if server.listed {
             server.idle.push(key);
             self.due.push(service);
@@ -268,6 +296,7 @@
 
     /// Closes a connection on which nothing runs.
     pub(crate) fn close_conn(&mut self, key: ConnKey) {
+        self.give_back(key, false);
         let Some(conn) = self.conns.remove(key) else {
             return;
         };
--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use registry::Sample;
-use registry::plan::{Format, Freshness};
+use registry::plan::Freshness;
 
 use crate::choose::{Candidate, choose};
 use crate::event::{ConnKey, SessionKey};
@@ -35,7 +35,7 @@
     Fresh(Sample),
 }
 
-impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
+impl<P: Protocol, C: Clock> Loop<P, C> {
     /// Starts a session's work if a connection is there. False if it has to wait.
     pub(crate) fn dispatch(&mut self, now: Instant, key: SessionKey) -> bool {
         let Some(place) = self.place(key) else {
@@ -47,7 +47,7 @@
         if work.pause_until.is_some_and(|until| now < until) {
             return false;
         }
-        let service = work.route.service;
+        let (service, rank) = (work.route.service, work.route.priority);
         let (index, after) = match place {
             Place::Bound(conn) => {
                 self.run(now, key, conn, None, false);
@@ -73,7 +73,7 @@
         let Some(conn) = self.take_conn(key, index) else {
             self.servers[index].borrow(now);
             if self.servers[index].has_room(now) {
-                self.open_for_waiting(now, index);
+                self.open_for_waiting(now, index, rank);
             }
             return false;
         };
@@ -151,11 +151,11 @@
     }
 
     /// Opens a connection unless as many are being opened as statements wait.
-    fn open_for_waiting(&mut self, now: Instant, index: usize) {
+    fn open_for_waiting(&mut self, now: Instant, index: usize, rank: u8) {
         let server = &self.servers[index];
         let waiting = self.services[server.service].waiting.len() + 1;
         if server.opening < waiting {
-            self.open(now, index);
+            self.open(now, index, rank);
         }
     }
 
--- a/components/proxy/src/event.rs
+++ b/components/proxy/src/event.rs
@@ -1,5 +1,7 @@
 //! Events of the proxy's loop.
 
+use std::net::SocketAddr;
+
 use link::io;
 use slotmap::new_key_type;
 use tokio::net::TcpStream;
@@ -27,6 +29,14 @@
     Dialed(u64, Option<mpsc::Sender<wire::Subscribe>>),
     /// A message of a coordinator, or the end of its stream.
     Coordinator(u64, link::Event<wire::Publish>),
+    /// A stream to another entry was opened, or could not be. The number is that of the dial.
+    LenderDialed(SocketAddr, u64, Option<mpsc::Sender<wire::Borrow>>),
+    /// A message of an entry that lends connections, or the end of its stream.
+    Lender(SocketAddr, u64, link::Event<wire::Lend>),
+    /// An entry that borrows connections opened a stream with this number.
+    Borrower(u64, mpsc::Sender<wire::Lend>),
+    /// A message of an entry that borrows connections, or the end of its stream.
+    Borrow(u64, link::Event<wire::Borrow>),
     /// A request on the HTTP endpoint.
     Http(observe::http::Request),
     /// The settings file has changed.
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -2,9 +2,8 @@
 
 use std::time::Instant;
 
-use registry::plan::Format;
-
 use crate::event::ConnKey;
+use crate::lenders::LENDERS;
 use crate::process::Loop;
 use crate::protocol::Protocol;
 use crate::server::{Server, Service};
@@ -13,11 +12,12 @@
 /// Connections of each server that are left to coordinators and to entries that have just started.
 const RESERVE: u32 = 4;
 /// Fewest connections to a server that an entry may have.
-const FEWEST: u32 = 1;
+const FEWEST: usize = 1;
+/// Equal share below which entries lend each other connections.
+const SPARSE: usize = 2;
 
-impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
+impl<P: Protocol, C: Clock> Loop<P, C> {
     pub(crate) fn on_registry(&mut self, now: Instant) {
-        self.follow_plan();
         self.clear_confirmed(now);
         self.follow_servers(now);
         for index in 0..self.services.len() {
@@ -27,34 +27,6 @@
         self.open_first(now);
     }
 
-    fn follow_plan(&mut self) {
-        if self.registry.version() <= self.plan.version {
-            return;
-        }
-        let Some(body) = self.registry.body() else {
-            return;
-        };
-        match F::read(body) {
-            Ok(plan) => {
-                tracing::info!(
-                    version = plan.version,
-                    routes = plan.routes.len(),
-                    services = plan.services.len(),
-                    "plan in force"
-                );
-                self.plan = plan;
-            }
-            // The coordinators have checked it, so that this build reads plans otherwise.
-            Err(findings) => {
-                tracing::error!(
-                    version = self.registry.version(),
-                    ?findings,
-                    "plan not readable"
-                );
-            }
-        }
-    }
-
     /// A primary that was only chosen leads now: nothing that was held against it counts.
     fn clear_confirmed(&mut self, now: Instant) {
         for service in &mut self.services {
@@ -75,6 +47,7 @@
         }
         let index = self.services.len();
         self.services.push(Service::new(name));
+        self.find_lenders(index);
         self.names.insert(name.to_owned(), index);
         index
     }
@@ -93,20 +66,49 @@
                 present.resize(index + 1, false);
             }
             present[index] = true;
-            let service = &self.services[self.servers[index].service];
-            let shared = service.connections.saturating_sub(RESERVE);
-            let share = (shared / self.subscription.entries()).max(FEWEST);
             let server = &mut self.servers[index];
-            server.set_share(share as usize, shared as usize);
             if registered.draining && server.draining_since.is_none() {
                 server.draining_since = Some(now);
                 tracing::info!(id = server.id, "server drains");
             }
         }
+        for service in 0..self.services.len() {
+            self.share_out(service);
+        }
         for (index, present) in present.into_iter().enumerate() {
             if !present && self.servers[index].listed {
                 self.retire(index);
+                self.deny_asked(now, index, true);
+            }
+        }
+    }
+
+    /// This entry's share of the connections of a service's servers, what all share, and whether other
+    /// entries keep them. An equal share below this many is kept by a few entries for all.
+    fn share(&self, service: usize) -> (usize, usize, bool) {
+        let service = &self.services[service];
+        let shared = service.connections.saturating_sub(RESERVE) as usize;
+        let equal = shared / self.subscription.entries() as usize;
+        let lends = service
+            .lends
+            .map(|it| it || service.stands_in_until.is_some());
+        match lends.filter(|_| equal < SPARSE) {
+            None => (equal.max(FEWEST), shared, false),
+            Some(true) => {
+                let lent = shared / self.settings.domains / LENDERS;
+                (lent.max(FEWEST), shared, false)
             }
+            Some(false) => (FEWEST, shared, !service.lenders.is_empty()),
+        }
+    }
+
+    /// Sets the shares of a service's servers.
+    pub(crate) fn share_out(&mut self, service: usize) {
+        let (share, shared, borrows) = self.share(service);
+        for index in &self.services[service].servers {
+            let server = &mut self.servers[*index];
+            server.set_share(share, shared);
+            server.borrows = borrows;
         }
     }
 
@@ -170,7 +172,7 @@
             let server = &self.servers[index];
             let wanted = server.listed && server.draining_since.is_none() && !server.is_crowded();
             if wanted && server.conns.is_empty() && server.has_room(now) {
-                self.open(now, index);
+                self.open(now, index, 0);
             }
         }
     }
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -6,14 +6,17 @@
 
 pub mod choose;
 pub mod freshness;
+pub mod lenders;
 pub mod protocol;
 
 mod answer;
+mod borrow;
 mod connection;
 mod dispatch;
 mod event;
 mod follow;
 mod journal;
+mod lend;
 mod lost;
 mod metrics;
 mod process;
--- a/components/proxy/src/lost.rs
+++ b/components/proxy/src/lost.rs
@@ -2,14 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use registry::plan::Format;
-
+use crate::borrow::LENDER_LOST;
 use crate::connection::REFUSED;
 use crate::event::{ConnKey, SessionKey};
 use crate::process::Loop;
 use crate::protocol::{Code, Command, Protocol};
 use crate::refuse::Reason;
-use crate::server::Expect;
+use crate::server::{Expect, Loan};
 use crate::session::{Kind, Stage, Work};
 use crate::timer::Timer;
 use clock::Clock;
@@ -18,32 +17,34 @@
 /// unusable.
 const UNANSWERED: Duration = Duration::from_millis(400);
 
-/// Time after an answer in which a server that does not take a connection counts as busy.
-const ALIVE: Duration = Duration::from_secs(1);
 /// Time without a usable primary after which sessions are moved. The load balancer has noticed by
 /// then that this entry is not ready.
 const MOVED: Duration = Duration::from_millis(2500);
 /// Parts in which idle sessions are moved.
 const MOVE_STEPS: usize = 4;
 
-impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
+impl<P: Protocol, C: Clock> Loop<P, C> {
     /// A connection is of no use any more. Whoever uses it is served elsewhere or told the outcome.
     pub(crate) fn on_conn_lost(&mut self, now: Instant, key: ConnKey, cause: &'static str) {
         let Some(conn) = self.conns.get(key) else {
             return;
         };
-        let (index, session) = (conn.server, conn.session);
+        let (index, session, since) = (conn.server, conn.session, conn.since);
         let idle = session.is_none() && conn.expected.is_empty();
-        let starting = conn.expected.front() == Some(&Expect::Startup);
+        let asked = conn.loan.is_some_and(|loan| !loan.granted);
+        let starting = asked || conn.expected.front() == Some(&Expect::Startup);
+        // What was lost is another entry, not the server.
+        let of_lender = conn.loan.is_some() && cause == LENDER_LOST;
         self.metrics.failures.add(cause);
+        self.on_lent_lost(now, key);
         self.close_conn(key);
         let server = &mut self.servers[index];
         let full = cause == Code::ConnectionLimit.label();
         // Under a burst of openings a server drops some of them and serves on. One that refuses them
         // has ended, and would be dialled over and over.
-        let alive = server.answered_at.is_some_and(|at| now < at + ALIVE);
+        let alive = server.answered_at.is_some_and(|at| at > since);
         let crowded = starting && alive && cause != REFUSED;
-        if server.listed && !full && !crowded && (starting || !idle) {
+        if server.listed && !full && !crowded && !of_lender && (starting || !idle) {
             server.on_failure(now);
             let (until, service) = (server.paused_until(), server.service);
             if let Some(until) = until {
@@ -51,6 +52,9 @@
             }
             self.miss(now, index);
         }
+        if self.servers[index].is_down(now) {
+            self.deny_asked(now, index, true);
+        }
         self.due.push(self.servers[index].service);
         if let Some(session) = session {
             tracing::debug!(id = self.servers[index].id, cause, "connection lost in use");
@@ -226,7 +230,11 @@
             let server = &self.servers[primary];
             let asked = |key: &ConnKey| {
                 let conn = self.conns.get(*key);
-                conn.is_some_and(|conn| conn.session.is_none() && !conn.expected.is_empty())
+                let waits = |loan: Loan| !loan.granted;
+                conn.is_some_and(|conn| {
+                    let asked = conn.session.is_none() && !conn.expected.is_empty();
+                    asked || conn.loan.is_some_and(waits)
+                })
             };
             if server.conns.iter().any(asked) {
                 continue;
@@ -234,15 +242,19 @@
             if !server.idle.is_empty() {
                 self.probe(now, primary);
             } else if server.has_room(now) {
-                self.open(now, primary);
+                self.open(now, primary, 0);
             }
         }
     }
 
     fn probe(&mut self, now: Instant, index: usize) {
-        let Some(key) = self.servers[index].idle.pop() else {
-            return;
-        };
+        if let Some(key) = self.servers[index].idle.pop() {
+            self.probe_on(now, key);
+        }
+    }
+
+    /// Asks a server on a connection that nobody uses whether it leads.
+    pub(crate) fn probe_on(&mut self, now: Instant, key: ConnKey) {
         let at = self.clock.moment();
         if let Some(conn) = self.conns.get_mut(key) {
             let begin = Command::Begin {
@@ -281,6 +293,9 @@
             );
             let server = &self.servers[conn.server];
             let answered = server.answered_at.is_some_and(|at| at > conn.since);
+            // A lender that is silent itself says nothing of the server.
+            let mute = |loan: Loan| self.lenders.is_silent_since(loan.lender, conn.since);
+            let answered = answered || conn.loan.is_some_and(mute);
             if sent && !answered && now >= conn.since + UNANSWERED {
                 silent.push(conn.server);
             }
--- a/components/proxy/src/metrics.rs
+++ b/components/proxy/src/metrics.rs
@@ -22,6 +22,8 @@
     pub failures: Reasons,
     /// Connections opened to servers.
     pub opened: Counter,
+    /// Connections asked for at other entries.
+    pub borrowed: Counter,
     /// Open sessions.
     pub sessions: Gauge,
     /// Statements that wait.
@@ -45,6 +47,7 @@
         let errors = common.reasons("server_errors", "Errors of servers that were passed on");
         let failures = common.reasons("server_failures", "Failures of servers, by kind");
         let opened = common.counter("connections_opened", "Connections opened to servers");
+        let borrowed = common.counter("loans", "Connections asked for at other entries");
         let sessions = common.gauge("sessions", "Open sessions");
         let waiting = common.gauge("waiting", "Statements that wait for a connection");
         let dropped = common.counter("log_lines_dropped", "Log lines left out to bound the log");
@@ -66,6 +69,7 @@
             errors,
             failures,
             opened,
+            borrowed,
             sessions,
             waiting,
             dropped,
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -8,15 +8,16 @@
 use anyhow::{Context, Result};
 use link::io;
 use pool::retry::Budget;
-use registry::plan::Format;
 use registry::{Plan, Registry};
 use slotmap::SlotMap;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
+use crate::borrow::Lenders;
 use crate::event::{ConnKey, Event, SessionKey};
 use crate::journal::Journal;
+use crate::lend::Borrowers;
 use crate::metrics::Set;
 use crate::protocol::{Access, Protocol};
 use crate::server::{Conn, Server, Service};
@@ -34,6 +35,8 @@
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// Interval of the upkeep of connections and of reports to coordinators.
 const UPKEEP: Duration = Duration::from_millis(250);
+/// Messages that wait for the stream of an entry that borrows connections.
+const LOAN_OUT: usize = 1024;
 /// Pause after a failed accept; without it a process that is out of descriptors spins.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -42,7 +45,7 @@
 
 /// State of a proxy process.
 #[derive(Debug)]
-pub struct Loop<P, F, C> {
+pub struct Loop<P, C> {
     pub(crate) settings: settings::Proxy,
     pub(crate) path: PathBuf,
     pub(crate) clock: C,
@@ -50,6 +53,8 @@
     pub(crate) metrics: Set,
     pub(crate) journal: Journal,
     pub(crate) subscription: Subscription,
+    pub(crate) lenders: Lenders,
+    pub(crate) borrowers: Borrowers,
     pub(crate) registry: Registry,
     pub(crate) plan: Plan,
     pub(crate) sessions: SlotMap<SessionKey, Session>,
@@ -77,7 +82,7 @@
     pub(crate) due: Vec<usize>,
     /// Set by SIGTERM.
     pub(crate) stop: Option<Stop>,
-    kind: PhantomData<(P, F)>,
+    kind: PhantomData<P>,
 }
 
 /// Runs a proxy process until SIGTERM or SIGINT. `path` is its settings file, which is read again
@@ -85,7 +90,7 @@
 ///
 /// # Errors
 /// Fails if an address can't be bound.
-pub async fn run<P: Protocol, F: Format + 'static, C: Clock + 'static>(
+pub async fn run<P: Protocol, C: Clock + 'static>(
     settings: settings::Proxy,
     path: PathBuf,
     clock: C,
@@ -99,6 +104,10 @@
         .with_context(|| format!("listen on {}", settings.http))?;
     let (events, mut queue) = mpsc::channel(EVENTS);
     spawn_local(observe::http::serve(http, events.clone()));
+    let link = TcpListener::bind(settings.link)
+        .await
+        .with_context(|| format!("listen on {}", settings.link))?;
+    accept_borrowers(link, events.clone());
     let accepting = spawn_local(accept(listener, events.clone()));
     let stopped = events.clone();
     spawn_local(async move {
@@ -111,7 +120,7 @@
         || Event::Reload,
     )?);
     tracing::info!(instance = %settings.instance, listen = %settings.listen, "proxy started");
-    let mut state = Loop::<P, F, C>::new(settings, path, clock, events, now());
+    let mut state = Loop::<P, C>::new(settings, path, clock, events, now());
     while state.turn(&mut queue).await {
         if state
             .stop
@@ -125,6 +134,22 @@
     Ok(())
 }
 
+fn accept_borrowers(listener: TcpListener, events: mpsc::Sender<Event>) {
+    spawn_local(link::listen(listener, move |path, number, stream| {
+        if path != link::LOAN {
+            return;
+        }
+        let events = events.clone();
+        let (out, outgoing) = mpsc::channel(LOAN_OUT);
+        spawn_local(async move {
+            if events.send(Event::Borrower(number, out)).await.is_ok() {
+                let wrap = move |event| Event::Borrow(number, event);
+                stream.run(outgoing, events, wrap).await;
+            }
+        });
+    }));
+}
+
 async fn accept(listener: TcpListener, events: mpsc::Sender<Event>) {
     loop {
         match listener.accept().await {
@@ -141,7 +166,7 @@
     }
 }
 
-impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
+impl<P: Protocol, C: Clock> Loop<P, C> {
     pub(crate) fn new(
         settings: settings::Proxy,
         path: PathBuf,
@@ -153,6 +178,8 @@
         timers.add(now, Timer::Upkeep);
         Self {
             subscription: Subscription::new(&settings, now),
+            lenders: Lenders::default(),
+            borrowers: Borrowers::default(),
             settings,
             path,
             clock,
@@ -198,7 +225,8 @@
         }
         self.on_timers(now);
         self.settle(now);
-        self.flush();
+        self.return_idle(now);
+        self.flush(now);
         !self.is_stopped(now)
     }
 
@@ -222,6 +250,12 @@
             Event::Conn(key, event) => self.on_conn(now, key, event),
             Event::Dialed(dial, out) => self.on_dialed(now, dial, out),
             Event::Coordinator(dial, event) => self.on_coordinator(now, dial, event),
+            Event::LenderDialed(address, dial, out) => {
+                self.on_lender_dialed(now, address, dial, out);
+            }
+            Event::Lender(address, dial, event) => self.on_lender(now, address, dial, event),
+            Event::Borrower(stream, out) => self.on_borrower(now, stream, out),
+            Event::Borrow(stream, event) => self.on_borrow(now, stream, event),
             Event::Http(request) => self.on_request(now, request),
             Event::Reload => self.reload(),
             Event::Stop => self.on_stop(now),
@@ -251,6 +285,7 @@
             } else if let Some(service) = self.due.pop() {
                 self.due.retain(|other| *other != service);
                 self.retry_waiting(now, service);
+                self.lend_idle(now, service);
             } else {
                 return;
             }
@@ -258,6 +293,9 @@
     }
 
     fn on_upkeep(&mut self, now: Instant) {
+        self.find_silent_lenders(now);
+        self.pulse_borrowers(now);
+        self.end_stand_ins(now);
         self.close_idle(now);
         self.find_unusable(now);
         self.probe_missed(now);
@@ -275,11 +313,15 @@
     }
 
     /// Sends what the turn has produced, one write a connection.
-    pub(crate) fn flush(&mut self) {
+    pub(crate) fn flush(&mut self, now: Instant) {
         for key in std::mem::take(&mut self.dirty_conns) {
             let Some(conn) = self.conns.get_mut(key) else {
                 continue;
             };
+            if conn.loan.is_some() {
+                self.send_borrowed(now, key);
+                continue;
+            }
             let Some(handle) = &mut conn.handle else {
                 continue;
             };
--- a/components/proxy/src/refuse.rs
+++ b/components/proxy/src/refuse.rs
@@ -2,8 +2,6 @@
 
 use std::time::Instant;
 
-use registry::plan::Format;
-
 use crate::event::SessionKey;
 use crate::journal::Line;
 use crate::process::Loop;
@@ -107,7 +105,7 @@
     }
 }
 
-impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
+impl<P: Protocol, C: Clock> Loop<P, C> {
     /// Answers a message that starts no work.
     pub(crate) fn reject(&mut self, key: SessionKey, reason: Reason) {
         self.metrics.common.refusals.add(reason.label());
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -4,10 +4,10 @@
 
 use http::StatusCode;
 use observe::http::{Request, Response};
-use registry::plan::Format;
 
 use crate::process::Loop;
 use crate::protocol::Protocol;
+use crate::server::Server;
 use clock::Clock;
 
 /// Time without a usable primary after which callers are better sent elsewhere. A change of
@@ -17,7 +17,7 @@
 /// Age up to which an answer of a primary to the coordinators shows that it can be reached.
 const HEARD: Duration = Duration::from_millis(900);
 
-impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
+impl<P: Protocol, C: Clock> Loop<P, C> {
     /// Whether callers should be sent here.
     ///
     /// # Errors
@@ -29,10 +29,9 @@
         if self.plan.version == 0 {
             return Err("no plan yet");
         }
-        let reached = self
-            .servers
-            .iter()
-            .any(|server| server.answered_at.is_some());
+        // One that borrows connections reaches none before its first statement.
+        let reached = |it: &Server| it.answered_at.is_some() || it.borrows;
+        let reached = self.servers.iter().any(reached);
         if !reached {
             return Err("no server reached yet");
         }
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -7,6 +7,7 @@
 use crate::choose::Candidate;
 use crate::event::{ConnKey, SessionKey};
 use crate::freshness::Track;
+use crate::lend::Asked;
 use crate::protocol::Code;
 use ahash::HashSet;
 use bytes::BytesMut;
@@ -33,8 +34,10 @@
 const SLOW: Duration = Duration::from_millis(1500);
 /// Time after a change of primary in which slowness is no reason for another.
 const SETTLED: Duration = Duration::from_secs(10);
+/// Connections of one server that an entry may have borrowed or asked for.
+const MAX_LOANS: usize = 64;
 /// How long no connection is opened after the server had none to give.
-const FULL: Duration = Duration::from_millis(100);
+const FULL: Duration = Duration::from_millis(300);
 
 /// What an answer in the making belongs to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -68,6 +71,17 @@
     Error(Code),
 }
 
+/// A connection of another entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Loan {
+    /// Link address of the entry.
+    pub lender: SocketAddr,
+    /// Number of the loan.
+    pub number: u64,
+    /// The connection may be used.
+    pub granted: bool,
+}
+
 /// A connection to a server.
 #[derive(Debug)]
 pub struct Conn {
@@ -95,6 +109,12 @@
     pub wrapped: bool,
     /// When its last use began or ended.
     pub since: Instant,
+    /// Values and shapes that another entry may have left on it are unknown.
+    pub stale: bool,
+    /// It belongs to another entry. Invariant: there is no socket then.
+    pub loan: Option<Loan>,
+    /// Stream and number of the loan under which another entry uses it.
+    pub lent_to: Option<(u64, u64)>,
 }
 
 impl Conn {
@@ -114,6 +134,20 @@
             session: None,
             wrapped: false,
             since: now,
+            stale: false,
+            loan: None,
+            lent_to: None,
+        }
+    }
+
+    /// A connection that another entry is asked for.
+    #[must_use]
+    pub fn borrowed(server: usize, now: Instant, loan: Loan) -> Self {
+        Self {
+            expected: VecDeque::new(),
+            stale: true,
+            loan: Some(loan),
+            ..Self::new(server, now)
         }
     }
 }
@@ -139,10 +173,16 @@
     pub conns: Vec<ConnKey>,
     /// Those that nobody uses, the latest used last.
     pub idle: Vec<ConnKey>,
-    /// Those that are being opened.
+    /// Those that belong to other entries or are asked for there.
+    pub loans: usize,
+    /// Those that are being opened, or asked for.
     pub opening: usize,
-    /// This entry's equal share of the connections.
+    /// Other entries that wait for a connection, in their order.
+    pub asked: VecDeque<Asked>,
+    /// This entry's share of the connections.
     pub share: usize,
+    /// Other entries of the failure domain keep its connections.
+    pub borrows: bool,
     /// Connections beyond the share that may be borrowed at present.
     borrow: usize,
     /// Connections that all entries share.
@@ -175,8 +215,11 @@
             draining_since: None,
             conns: Vec::new(),
             idle: Vec::new(),
+            loans: 0,
             opening: 0,
+            asked: VecDeque::new(),
             share: 1,
+            borrows: false,
             borrow: 0,
             shared: 1,
             running: 0,
@@ -190,11 +233,22 @@
         }
     }
 
-    /// Whether a connection may be opened now.
+    /// Whether a connection may be opened now, or another entry asked for one.
     #[must_use]
     pub fn has_room(&self, now: Instant) -> bool {
+        if self.borrows {
+            self.listed && !self.is_down(now) && self.conns.len() < MAX_LOANS
+        } else {
+            self.has_own_room(now)
+        }
+    }
+
+    /// Whether a connection of this entry's own may be opened now.
+    #[must_use]
+    pub fn has_own_room(&self, now: Instant) -> bool {
         let full = self.full_until.is_some_and(|until| now < until);
-        self.listed && !full && !self.is_down(now) && self.conns.len() < self.share + self.borrow
+        let (own, most) = (self.conns.len() - self.loans, self.share + self.borrow);
+        self.listed && !full && !self.is_down(now) && own < most
     }
 
     /// Whether it is passed over after failures.
@@ -255,17 +309,28 @@
         self.share < 2
     }
 
-    /// Sets this entry's equal share, of all that are shared.
+    /// Sets this entry's share, of all that are shared.
     pub fn set_share(&mut self, share: usize, shared: usize) {
         (self.share, self.shared) = (share, shared);
     }
 
+    /// It gave a sign of life on a connection that is lent.
+    pub fn on_sign(&mut self, now: Instant) {
+        self.answered_at = Some(now);
+        self.pause = None;
+        self.down_until = None;
+    }
+
     /// Statements wait although the share is used up: one more connection may be borrowed, as
     /// other entries rarely use all of theirs.
     pub fn borrow(&mut self, now: Instant) {
         let full = self.full_until.is_some_and(|until| now < until);
         let most = self.shared.saturating_sub(self.share) / 2;
-        if !full && self.conns.len() >= self.share + self.borrow && self.borrow < most {
+        if !self.borrows
+            && !full
+            && self.conns.len() >= self.share + self.borrow
+            && self.borrow < most
+        {
             self.borrow += 1;
         }
     }
@@ -319,6 +384,12 @@
     pub confirmed: u64,
     /// Connections that each server takes from all callers together.
     pub connections: u32,
+    /// Whether this entry lends connections; none while no entries are known.
+    pub lends: Option<bool>,
+    /// Until when this entry lends in place of others.
+    pub stands_in_until: Option<Instant>,
+    /// Entries that lend connections, in the order in which they are asked.
+    pub lenders: Vec<SocketAddr>,
 }
 
 impl Service {
@@ -355,6 +426,9 @@
             confirmed_at: None,
             confirmed: 0,
             connections: 0,
+            lends: None,
+            stands_in_until: None,
+            lenders: Vec::new(),
         }
     }
 }
--- a/components/proxy/src/settle.rs
+++ b/components/proxy/src/settle.rs
@@ -4,7 +4,7 @@
 
 use bytes::Buf as _;
 use link::io;
-use registry::plan::{Format, Freshness};
+use registry::plan::Freshness;
 use tokio::net::TcpStream;
 
 use crate::event::{Event, SessionKey};
@@ -26,7 +26,7 @@
 /// Share of the goal after which an unanswered read is sent to another server, in percent.
 const HEDGE_PERCENT: u32 = 60;
 
-impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
+impl<P: Protocol, C: Clock> Loop<P, C> {
     pub(crate) fn on_accepted(&mut self, socket: TcpStream) {
         if self.sessions.len() >= self.settings.max_callers {
             self.metrics.common.refusals.add("too_many_callers");
--- a/components/proxy/src/stop.rs
+++ b/components/proxy/src/stop.rs
@@ -2,8 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use registry::plan::Format;
-
 use crate::event::SessionKey;
 use crate::process::Loop;
 use crate::protocol::Protocol;
@@ -49,13 +47,14 @@
     }
 }
 
-impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
+impl<P: Protocol, C: Clock> Loop<P, C> {
     pub(crate) fn on_stop(&mut self, now: Instant) {
         if self.stop.is_some() {
             return;
         }
         let limit = self.settings.stop_timeout;
         tracing::info!(sessions = self.sessions.len(), "stop asked for");
+        self.subscription.leave();
         self.stop = Some(Stop {
             close_at: now + ROTATION.min(limit / 2),
             end_at: now + limit / TRANSACTIONS,
@@ -73,7 +72,7 @@
             return;
         }
         if let Some(stop) = &mut self.stop {
-            let empty = self.sessions.is_empty();
+            let empty = self.sessions.is_empty() && self.borrowers.is_idle();
             stop.empty_since = empty.then(|| stop.empty_since.unwrap_or(now));
         }
         let idle = |key: &SessionKey| self.sessions.get(*key).is_some_and(|s| s.is_idle());
@@ -102,6 +101,11 @@
         }
     }
 
+    /// Whether the stop has come so far that nothing new is begun for others.
+    pub(crate) fn is_ending(&self, now: Instant) -> bool {
+        self.stop.is_some_and(|stop| now >= stop.end_at)
+    }
+
     /// Whether the process may end.
     pub(crate) fn is_stopped(&self, now: Instant) -> bool {
         self.stop.is_some_and(|stop| {
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use registry::plan::Format;
 use registry::{Order, Registry, Sample};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
@@ -27,7 +26,7 @@
 /// Time after the last statement for a service in which positions of its primary are asked for.
 const USED: Duration = Duration::from_secs(5);
 /// Entries that are assumed before a coordinator has told their number.
-const ASSUMED: u32 = 16;
+const ASSUMED: u32 = 64;
 /// Complaints that wait for the stream.
 const OUT: usize = 16;
 
@@ -88,6 +87,14 @@
         self.entries.max(1)
     }
 
+    /// Tells the coordinator that this entry stops.
+    pub fn leave(&mut self) {
+        if let State::Up { out, .. } = &self.state {
+            // Without room the end of the stream tells it later.
+            let _full = out.try_send(Subscribe::Leave);
+        }
+    }
+
     /// Whether a coordinator that is in contact with a leader was heard of lately.
     pub fn is_current(&self, now: Instant) -> bool {
         matches!(&self.state, State::Up { silent_at, .. } if now < *silent_at)
@@ -108,7 +115,7 @@
     }
 }
 
-impl<P: Protocol, F: Format, C: Clock> Loop<P, F, C> {
+impl<P: Protocol, C: Clock> Loop<P, C> {
     /// Dials, or gives a silent stream up.
     pub(crate) fn keep_subscription(&mut self, now: Instant) {
         match &self.subscription.state {
@@ -157,6 +164,7 @@
             version: wire::VERSION,
             instance: self.subscription.instance.to_string(),
             domain: self.subscription.domain.to_string(),
+            address: self.settings.link.to_string(),
         };
         // The channel is new and has room.
         let _sent = out.try_send(open);
@@ -183,11 +191,7 @@
                 // A coordinator that is behind sends what this entry has seen already.
                 Ok(registry) if registry.revision() < self.registry.revision() => {}
                 Ok(registry) => {
-                    tracing::info!(
-                        revision = registry.revision(),
-                        version = registry.version(),
-                        "registry received"
-                    );
+                    tracing::info!(revision = registry.revision(), "registry received");
                     self.registry = registry;
                     self.on_registry(now);
                 }
@@ -211,13 +215,28 @@
                 {
                     *silent_at = now + SILENCE;
                 }
-                if current && entries != self.subscription.entries {
+                if current && entries != 0 && entries != self.subscription.entries {
                     self.subscription.entries = entries;
                     self.on_registry(now);
                 }
                 let known = coordinators.iter().filter_map(|it| it.parse().ok());
                 self.subscription.known = known.collect();
             }
+            Publish::Plan(change) => match self.plan.apply(change) {
+                // A coordinator that is behind sends what this entry has seen already.
+                Ok(false) => {}
+                Ok(true) => {
+                    tracing::info!(
+                        version = self.plan.version,
+                        routes = self.plan.routes.len(),
+                        services = self.plan.services.len(),
+                        "plan in force"
+                    );
+                    self.on_registry(now);
+                }
+                Err(error) => self.on_unreadable(now, &error),
+            },
+            Publish::Entries(entries) => self.on_neighbours(now, &entries),
             Publish::Samples(answer) => self.on_samples(&answer),
         }
     }
--- /dev/null
+++ b/components/registry/src/delta.rs
@@ -0,0 +1,125 @@
+//! Changes of the plan as entries are told. A plan holds every route, and most changes touch one.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use anyhow::{Result, ensure};
+
+use crate::plan::{Freshness, Plan, Route, Service};
+
+impl Plan {
+    /// What turns `base` into this plan.
+    #[must_use]
+    pub fn change_from(&self, base: &Self) -> wire::PlanChange {
+        let route = |(name, route): (&String, &Route)| {
+            let changed = base.routes.get(name) != Some(route);
+            changed.then(|| raw_route(name, route))
+        };
+        let service = |(name, service): (&String, &Service)| {
+            let changed = base.services.get(name) != Some(service);
+            changed.then(|| wire::Service {
+                name: name.clone(),
+                connections: service.connections,
+                sync_replicas: service.sync_replicas,
+            })
+        };
+        wire::PlanChange {
+            base: base.version,
+            version: self.version,
+            routes: self.routes.iter().filter_map(route).collect(),
+            services: self.services.iter().filter_map(service).collect(),
+            removed_routes: gone(&base.routes, &self.routes),
+            removed_services: gone(&base.services, &self.services),
+            idle_limit_ms: self.idle_limit.map(millis),
+        }
+    }
+
+    /// Applies a change. False if this plan is as new already.
+    ///
+    /// # Errors
+    /// Fails on a change of another plan, or one that names an unknown service.
+    pub fn apply(&mut self, change: wire::PlanChange) -> Result<bool> {
+        if change.version <= self.version {
+            return Ok(false);
+        }
+        let mut next = if change.base == 0 {
+            Self::default()
+        } else {
+            ensure!(
+                change.base == self.version,
+                "change of plan {} for plan {}",
+                change.base,
+                self.version
+            );
+            self.clone()
+        };
+        for name in &change.removed_routes {
+            next.routes.remove(name);
+        }
+        for name in &change.removed_services {
+            next.services.remove(name);
+        }
+        for raw in change.services {
+            let service = Service {
+                connections: raw.connections,
+                sync_replicas: raw.sync_replicas,
+            };
+            next.services.insert(raw.name, service);
+        }
+        for raw in change.routes {
+            let (name, route) = checked_route(raw);
+            next.routes.insert(name, route);
+        }
+        for (name, route) in &next.routes {
+            let known = next.services.contains_key(&route.service);
+            ensure!(
+                known,
+                "route {name} names the unknown service {}",
+                route.service
+            );
+        }
+        next.version = change.version;
+        next.idle_limit = change.idle_limit_ms.map(Duration::from_millis);
+        *self = next;
+        Ok(true)
+    }
+}
+
+fn gone<T>(base: &BTreeMap<String, T>, next: &BTreeMap<String, T>) -> Vec<String> {
+    let gone = base.keys().filter(|name| !next.contains_key(*name));
+    gone.cloned().collect()
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn raw_route(name: &str, route: &Route) -> wire::Route {
+    wire::Route {
+        name: name.to_owned(),
+        service: route.service.clone(),
+        freshness: match route.freshness {
+            Freshness::Latest => wire::Freshness::Latest,
+            Freshness::Aged(age) => wire::Freshness::Aged(millis(age)),
+            Freshness::Session(age) => wire::Freshness::Session(millis(age)),
+        },
+        timeout_ms: millis(route.timeout),
+        goal_ms: millis(route.goal),
+        priority: route.priority,
+    }
+}
+
+fn checked_route(raw: wire::Route) -> (String, Route) {
+    let route = Route {
+        service: raw.service,
+        freshness: match raw.freshness {
+            wire::Freshness::Latest => Freshness::Latest,
+            wire::Freshness::Aged(ms) => Freshness::Aged(Duration::from_millis(ms)),
+            wire::Freshness::Session(ms) => Freshness::Session(Duration::from_millis(ms)),
+        },
+        timeout: Duration::from_millis(raw.timeout_ms),
+        goal: Duration::from_millis(raw.goal_ms),
+        priority: raw.priority,
+    };
+    (raw.name, route)
+}
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod change;
 pub mod convert;
+mod delta;
 pub mod plan;
 pub mod sample;
 pub mod server;
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -96,6 +96,19 @@
         (!self.body.is_empty()).then_some(&self.body)
     }
 
+    /// The same without the plan's document, which entries have no use for.
+    #[must_use]
+    pub fn without_document(&self) -> Self {
+        Self {
+            revision: self.revision,
+            version: self.version,
+            body: Vec::new(),
+            servers: self.servers.clone(),
+            ended: self.ended.clone(),
+            leaders: self.leaders.clone(),
+        }
+    }
+
     /// All servers.
     pub fn servers(&self) -> impl Iterator<Item = &Server> {
         self.servers.values()
--- /dev/null
+++ b/components/registry/tests/delta.rs
@@ -0,0 +1,93 @@
+//! Changes of the plan as entries are told.
+
+use std::time::Duration;
+
+use registry::Plan;
+use registry::plan::{Freshness, Route, Service};
+
+fn route(service: &str, timeout_ms: u64) -> Route {
+    Route {
+        service: service.to_owned(),
+        freshness: Freshness::Session(Duration::from_millis(1500)),
+        timeout: Duration::from_millis(timeout_ms),
+        goal: Duration::from_millis(200),
+        priority: 2,
+    }
+}
+
+fn plan(version: u64, routes: &[(&str, &str, u64)]) -> Plan {
+    let service = Service {
+        connections: 40,
+        sync_replicas: 1,
+    };
+    let routes = routes
+        .iter()
+        .map(|(name, service, timeout)| (*name, route(service, *timeout)));
+    let mut plan = Plan {
+        version,
+        idle_limit: Some(Duration::from_secs(3)),
+        ..Plan::default()
+    };
+    for (name, route) in routes {
+        plan.services.insert(route.service.clone(), service);
+        plan.routes.insert(name.to_owned(), route);
+    }
+    plan
+}
+
+// Whole plans of 30 kB each filled the entries' links while operators changed them in quick succession.
+#[test]
+fn tells_only_what_has_changed() {
+    let old = plan(
+        3,
+        &[
+            ("till", "orders", 900),
+            ("board", "orders", 900),
+            ("gone", "herbs", 1),
+        ],
+    );
+    let new = plan(
+        7,
+        &[
+            ("till", "orders", 800),
+            ("board", "orders", 900),
+            ("new", "eggs", 700),
+        ],
+    );
+    let change = new.change_from(&old);
+    let names: Vec<&str> = change.routes.iter().map(|it| it.name.as_str()).collect();
+    assert_eq!(names, ["new", "till"]);
+    assert_eq!(change.removed_routes, ["gone"]);
+    assert_eq!(change.removed_services, ["herbs"]);
+    let mut applied = old;
+    assert!(applied.apply(change).unwrap());
+    assert_eq!(applied, new);
+}
+
+// An entry that turns to a coordinator which is behind must not take an older plan.
+#[test]
+fn ignores_what_is_not_newer() {
+    let whole = plan(4, &[("till", "orders", 900)]).change_from(&Plan::default());
+    let mut plan = plan(5, &[("till", "orders", 800)]);
+    let before = plan.clone();
+    assert!(!plan.apply(whole).unwrap());
+    assert_eq!(plan, before);
+}
+
+// A change of another plan than the one in force would leave a mixture of both.
+#[test]
+fn refuses_a_change_of_another_plan() {
+    let change = plan(9, &[("till", "orders", 1)]).change_from(&plan(8, &[]));
+    let mut plan = plan(5, &[("till", "orders", 800)]);
+    let before = plan.clone();
+    plan.apply(change).unwrap_err();
+    assert_eq!(plan, before);
+}
+
+// A route without its service would be refused only when a caller comes.
+#[test]
+fn refuses_a_route_to_an_unknown_service() {
+    let mut change = plan(9, &[("till", "orders", 1)]).change_from(&Plan::default());
+    change.services.clear();
+    Plan::default().apply(change).unwrap_err();
+}
--- a/components/settings/src/proxy.rs
+++ b/components/settings/src/proxy.rs
@@ -19,8 +19,12 @@
     pub instance: Name,
     /// Failure domain of this instance.
     pub domain: Name,
+    /// Number of failure domains of the system.
+    pub domains: usize,
     /// Address for callers.
     pub listen: SocketAddr,
+    /// Address for streams from other proxies.
+    pub link: SocketAddr,
     /// Address for readiness and metrics.
     pub http: SocketAddr,
     /// Link addresses of the coordinators through which the others are found.
@@ -41,9 +45,9 @@
 
     fn check(check: &mut Check<'_, '_>) {
         let seeds = check.items("/seeds", "");
-        check.addresses(&["/listen", "/http"]);
+        check.addresses(&["/listen", "/link", "/http"]);
         check.addresses(&seeds);
-        check.distinct(&["/listen", "/http"]);
+        check.distinct(&["/listen", "/link", "/http"]);
         check.distinct(&seeds);
     }
 }
@@ -56,7 +60,9 @@
         Ok(Self {
             instance: convert("/instance", raw.instance.as_str())?,
             domain: convert("/domain", raw.domain.as_str())?,
+            domains: raw.domains.len(),
             listen: address("/listen", &raw.listen)?,
+            link: address("/link", &raw.link)?,
             http: address("/http", &raw.http)?,
             seeds: seeds(raw.seeds.iter().map(|seed| seed.as_str()), link_port)?,
             max_callers: convert("/max_callers", raw.max_callers.get())?,
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -155,6 +155,12 @@
     pub payload: Payload,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Neighbour {
+    pub instance: String,
+    pub domain: String,
+    pub address: String,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Question {
     pub number: u64,
     pub services: Vec<String>,
@@ -201,30 +207,12 @@
         domain: String,
         blank: bool,
         founding: bool,
-        entries: u32,
         known: Vec<String>,
     },
     Report { entries: u32, complaints: Vec<Complaint> },
     Ask(Question),
     Samples(Samples),
-}
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Change {
-    pub base: u64,
-    pub request: String,
-    pub operator: String,
-}
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub enum Command {
-    Set { path: String, key: String, value: Option<String>, change: Change },
-    Announce(Announcement),
-    Mark { target: String, state: State, change: Change },
-    Enroll { instance: String, domain: String },
-    Fence { database: String, term: u64, hold: bool, reason: String },
-    Choose { database: String, term: u64, target: String, point: Point },
-    Open { database: String, term: u64, target: String, start: u64 },
-    Retire { target: String },
-    Dismiss { instance: String },
+    Entries(Vec<Neighbour>),
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Server {
@@ -247,6 +235,37 @@
     Confirm { service: String, token: u64 },
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Freshness {
+    Latest,
+    Aged(u64),
+    Session(u64),
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    pub name: String,
+    pub service: String,
+    pub freshness: Freshness,
+    pub timeout_ms: u64,
+    pub goal_ms: u64,
+    pub priority: u8,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    pub name: String,
+    pub connections: u32,
+    pub sync_replicas: u32,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct PlanChange {
+    pub base: u64,
+    pub version: u64,
+    pub routes: Vec<Route>,
+    pub services: Vec<Service>,
+    pub removed_routes: Vec<String>,
+    pub removed_services: Vec<String>,
+    pub idle_limit_ms: Option<u64>,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Ended {
     pub id: String,
     pub born: u64,
@@ -274,6 +293,26 @@
     Update { revision: u64, order: Order },
     Pulse { current: bool, entries: u32, coordinators: Vec<String> },
     Samples(Samples),
+    Entries(Vec<Neighbour>),
+    Plan(PlanChange),
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    pub base: u64,
+    pub request: String,
+    pub operator: String,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    Set { path: String, key: String, value: Option<String>, change: Change },
+    Announce(Announcement),
+    Mark { target: String, state: State, change: Change },
+    Enroll { instance: String, domain: String },
+    Fence { database: String, term: u64, hold: bool, reason: String },
+    Choose { database: String, term: u64, target: String, point: Point },
+    Open { database: String, term: u64, target: String, start: u64 },
+    Retire { target: String },
+    Dismiss { instance: String },
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
@@ -316,9 +355,10 @@
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Subscribe {
-    Open { version: u32, instance: String, domain: String },
+    Open { version: u32, instance: String, domain: String, address: String },
     Complain(Vec<Complaint>),
     Ask(Question),
+    Leave,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Peer {
@@ -327,3 +367,18 @@
     pub epoch: u64,
     pub body: Body,
 }
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Borrow {
+    Open { version: u32, instance: String },
+    Ask { loan: u64, server: String, rank: u8 },
+    Send { loan: u64, bytes: Bytes },
+    Return { loan: u64, clean: bool },
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Lend {
+    Grant { loan: u64 },
+    Deny { loan: u64, failed: bool },
+    Receive { loan: u64, bytes: Bytes },
+    Lost { loan: u64 },
+    Pulse,
+}
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clock::Boot;
-use platform::{Document, Line};
+use platform::Line;
 
 fn main() -> ExitCode {
     let about = "Takes sessions of callers and places their statements on servers";
@@ -14,6 +14,6 @@
     };
     observe::process::run(async {
         let _writer = observe::log::to_stdout(settings.log.format, settings.log.level)?;
-        proxy::run::<Line, Document, Boot>(settings, path, Boot).await
+        proxy::run::<Line, Boot>(settings, path, Boot).await
     })
 }
--- a/tests/machines/world.rs
+++ b/tests/machines/world.rs
@@ -156,13 +156,13 @@
     }
 
     pub async fn start_proxy(&mut self, index: usize) {
-        let (http, seeds) = (free().await, self.seeds());
+        let (http, link, seeds) = (free().await, free().await, self.seeds());
         let port = self.coordinators[0].link.port();
         let proxy = &mut self.proxies[index];
         let callers = proxy.callers;
         let settings = format!(
-            r#"{{"instance":"p{index}","domain":"d{index}","listen":"{callers}","http":"{http}",
-            "link_port":{port},"seeds":[{seeds}],"stop_timeout_s":3}}"#
+            r#"{{"instance":"p{index}","domain":"d{index}","domains":["d0","d1","d2"],"listen":"{callers}",
+            "link":"{link}","http":"{http}","link_port":{port},"seeds":[{seeds}],"stop_timeout_s":3}}"#
         );
         let path = self.folder.path().join(format!("p{index}.json"));
         fs::write(&path, settings).unwrap();
