Go on beside a stalled disk of the leader, and stay out of the rotation while cut off

Proposals are written behind the unfinished write and replicated at the next heartbeat; a quorum of the others commits them.

In a cut-off domain an entry finds coordinators without a leader one after the other.

--- a/components/consensus/src/lead.rs
+++ b/components/consensus/src/lead.rs
@@ -233,6 +233,15 @@
         }
     }
 
+    /// Sends proposals that still wait for the sync of an earlier write: a quorum commits them without
+    /// this disk, which may be hanging.
+    pub(crate) fn replicate_late(&mut self, out: &mut Vec<Action>) {
+        if self.lead().is_some() && self.log.is_staged() {
+            self.flush(out);
+            self.replicate_all(out);
+        }
+    }
+
     fn replicate_all(&mut self, out: &mut Vec<Action>) {
         for name in self.peer_names() {
             self.replicate(&name, out);
--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -142,6 +142,7 @@
         if matches!(self.state, State::Leader(_)) {
             self.check_quorum(now, out);
             self.start_round(now, out);
+            self.replicate_late(out);
         } else {
             self.start_probe(now, out);
         }
--- a/components/consensus/tests/cluster.rs
+++ b/components/consensus/tests/cluster.rs
@@ -115,6 +115,28 @@
     assert!(net.hosts.values().all(|host| host.state.len() == 100));
 }
 
+/// The disk of the leader hangs for seconds while those of a quorum work. What was proposed after its
+/// first unfinished write waited for that disk, and with it every operator and server.
+#[test]
+fn a_stalled_disk_of_the_leader_holds_nothing_up() {
+    let (mut net, leader) = start(6);
+    net.run(100);
+    net.stalled.insert(leader.clone());
+    for count in 1..=5 {
+        assert!(net.propose(b"x"));
+        net.run(200);
+        let state = net.hosts.values().map(|host| host.state.len());
+        assert!(
+            state.min() >= Some(count),
+            "proposal {count} is not committed"
+        );
+    }
+    net.stalled.clear();
+    net.run(200);
+    assert_eq!(net.leader(), Some(leader));
+    assert!(net.hosts.values().all(|host| host.pending.is_empty()));
+}
+
 /// With two voters gone and one of them emptied, a vote from the emptied disk would elect a leader
 /// that may lack committed entries.
 #[rstest]
--- a/components/consensus/tests/network/mod.rs
+++ b/components/consensus/tests/network/mod.rs
@@ -27,6 +27,8 @@
     pub hosts: BTreeMap<Name, Host>,
     queue: Vec<(Instant, Name, Peer)>,
     pub cut: BTreeSet<Name>,
+    /// Hosts whose disk completes no write.
+    pub stalled: BTreeSet<Name>,
     /// Share of messages that are lost or doubled.
     pub loss: f64,
     /// Longest delay of a message or a sync.
@@ -49,6 +51,7 @@
             hosts: BTreeMap::new(),
             queue: Vec::new(),
             cut: BTreeSet::new(),
+            stalled: BTreeSet::new(),
             loss: 0.0,
             delay_us: 2_000,
             settings,
@@ -154,8 +157,11 @@
     pub fn run(&mut self, ms: u64) {
         let end = self.now + Duration::from_millis(ms);
         while self.now < end {
-            let due = |host: &Host| [host.node.deadline(), host.sync_at];
-            let hosts = self.hosts.values().flat_map(due).flatten();
+            let due = |(who, host): (&Name, &Host)| {
+                let sync_at = host.sync_at.filter(|_| !self.stalled.contains(who));
+                [host.node.deadline(), sync_at]
+            };
+            let hosts = self.hosts.iter().flat_map(due).flatten();
             let next = hosts.chain(self.queue.iter().map(|(at, ..)| *at)).min();
             self.now = next.unwrap_or(end).clamp(self.now, end);
             self.step();
@@ -173,7 +179,8 @@
         }
         for who in self.hosts.keys().cloned().collect::<Vec<_>>() {
             let host = self.hosts.get_mut(&who).unwrap();
-            if host.sync_at.take_if(|at| *at <= now).is_some() {
+            let runs = !self.stalled.contains(&who);
+            if host.sync_at.take_if(|at| runs && *at <= now).is_some() {
                 let last = host.pending.last().map_or(0, |(seq, _)| *seq);
                 for (_, write) in host.pending.drain(..) {
                     host.saved.apply(write);
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -60,6 +60,8 @@
     complaints: Vec<(String, String)>,
     /// Entries of the whole system.
     entries: u32,
+    /// Until when the last sign of a coordinator in contact with a leader counts.
+    current_until: Option<Instant>,
 }
 
 impl Subscription {
@@ -79,6 +81,7 @@
             asked: Default::default(),
             complaints: Vec::new(),
             entries: ASSUMED,
+            current_until: None,
         }
     }
 
@@ -97,7 +100,7 @@
 
     /// Whether a coordinator that is in contact with a leader was heard of lately.
     pub fn is_current(&self, now: Instant) -> bool {
-        matches!(&self.state, State::Up { silent_at, .. } if now < *silent_at)
+        self.current_until.is_some_and(|until| now < until)
     }
 
     /// Takes other seeds.
@@ -214,6 +217,7 @@
                     && current
                 {
                     *silent_at = now + SILENCE;
+                    self.subscription.current_until = Some(now + SILENCE);
                 }
                 if current && entries != 0 && entries != self.subscription.entries {
                     self.subscription.entries = entries;
