Pace openings and retries, and take a new primary at its word

After a loss of power every entry opened several connections to every server at once, each as costly as a short statement, and asked rejecting servers again after 10 ms: for two seconds servers rejected most of what came. Connections are opened one at a time now once there is one, and pauses after a rejection double.

The question whether a new primary leads had no answer while callers pressed it, and its promotion was taken for failed after four seconds. Its heartbeat tells of the new role at once; one that is later than what it said as a follower confirms the promotion.

An entry that has lost coordinators and a primary leaves the rotation after 0.3 s. Orders, plans and neighbours that come in one turn are followed once: at 300 machines the passes over all servers took most of the processor.

Tests: confirms_by_the_word_of_a_new_primary_that_answers_nothing needs the new rule; its counterpart guards it.

--- a/components/coordinator/src/neighbours.rs
+++ b/components/coordinator/src/neighbours.rs
@@ -12,7 +12,7 @@
 /// How long an entry counts after its stream has ended. It opens one elsewhere within that time.
 const GRACE: Duration = Duration::from_millis(1500);
 /// Time after the start in which an instance has not heard of all entries yet.
-const SETTLING: Duration = Duration::from_millis(1200);
+const SETTLING: Duration = Duration::from_millis(800);
 
 /// The entries of the system.
 #[derive(Debug)]
--- a/components/proxy/src/answer.rs
+++ b/components/proxy/src/answer.rs
@@ -17,6 +17,8 @@
 const NOT_LEADING: Duration = Duration::from_millis(60);
 /// First pause before a statement is tried again at a server without capacity.
 const BUSY: Duration = Duration::from_millis(10);
+/// Doublings of that pause at most.
+const MAX_DOUBLINGS: usize = 4;
 /// Times that a statement is tried.
 const MAX_TRIES: usize = 8;
 /// Bytes of one answer that are held back until it is complete.
@@ -178,12 +180,16 @@
 
     /// Tries a statement again that a server has not run, or refuses it.
     fn try_again(&mut self, now: Instant, key: SessionKey, server: usize, code: Code) {
-        let pause = self.on_not_run(now, server, code);
+        let mut pause = self.on_not_run(now, server, code);
         let Some(work) = self.sessions.get_mut(key).and_then(|s| s.work.as_mut()) else {
             return;
         };
         work.retried = Some(code);
         let tries = work.tried.len();
+        if code == Code::Busy {
+            // Longer each time: a server that is pressed rejects whatever comes early.
+            pause *= 1 << tries.min(MAX_DOUBLINGS);
+        }
         if code == Code::Busy || code == Code::ReadOnly {
             // Several tries at one server are counted too.
             work.tried.push(server);
--- a/components/proxy/src/borrow.rs
+++ b/components/proxy/src/borrow.rs
@@ -109,7 +109,7 @@
 }
 
 impl<P: Protocol, C: Clock> Loop<P, C> {
-    pub(crate) fn on_neighbours(&mut self, now: Instant, entries: &[wire::Neighbour]) {
+    pub(crate) fn on_neighbours(&mut self, entries: &[wire::Neighbour]) {
         let entry = |raw: &wire::Neighbour| {
             Some(Neighbour {
                 instance: raw.instance.clone(),
@@ -126,7 +126,7 @@
         for index in 0..self.services.len() {
             self.find_lenders(index);
         }
-        self.on_registry(now);
+        self.changed = true;
     }
 
     /// Takes note of who lends connections of a service.
--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -150,11 +150,18 @@
         Some(self.servers[index].idle.remove(position))
     }
 
-    /// Opens a connection unless as many are being opened as statements wait.
+    /// Opens a connection, one at a time once there is any: each takes a slot of the server as long as a
+    /// short statement, and all entries open theirs at once after a loss of power.
     fn open_for_waiting(&mut self, now: Instant, index: usize, rank: u8) {
         let server = &self.servers[index];
         let waiting = self.services[server.service].waiting.len() + 1;
-        if server.opening < waiting {
+        let open = server.conns.len() - server.opening;
+        let most = if open == 0 || server.borrows {
+            waiting
+        } else {
+            1
+        };
+        if server.opening < most {
             self.open(now, index, rank);
         }
     }
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -56,6 +56,8 @@
     pub(crate) lenders: Lenders,
     pub(crate) borrowers: Borrowers,
     pub(crate) registry: Registry,
+    /// Registry, plan or neighbours have changed in this turn.
+    pub(crate) changed: bool,
     pub(crate) plan: Plan,
     pub(crate) sessions: SlotMap<SessionKey, Session>,
     pub(crate) conns: SlotMap<ConnKey, Conn>,
@@ -187,6 +189,7 @@
             metrics: Set::new(),
             journal: Journal::new(now),
             registry: Registry::default(),
+            changed: false,
             plan: Plan::default(),
             sessions: SlotMap::with_key(),
             conns: SlotMap::with_key(),
@@ -223,6 +226,10 @@
         if let Some(event) = next {
             self.on_event(now, event);
         }
+        // Many orders come at once at a start; each pass looks at every server.
+        if std::mem::take(&mut self.changed) {
+            self.on_registry(now);
+        }
         self.on_timers(now);
         self.settle(now);
         self.return_idle(now);
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -14,6 +14,8 @@
 /// primary is mostly over before.
 const MISSED: Duration = Duration::from_secs(1);
 
+/// The same for an entry that has lost the coordinators too, and so is cut off itself.
+const ALONE: Duration = Duration::from_millis(300);
 /// Age up to which an answer of a primary to the coordinators shows that it can be reached.
 const HEARD: Duration = Duration::from_millis(900);
 
@@ -35,7 +37,8 @@
         if !reached {
             return Err("no server reached yet");
         }
-        if self.is_cut_off(now, MISSED) {
+        let alone = !self.subscription.is_current(now);
+        if self.is_cut_off(now, if alone { ALONE } else { MISSED }) {
             return Err("a primary can't be used from here");
         }
         Ok(())
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -196,7 +196,7 @@
                 Ok(registry) => {
                     tracing::info!(revision = registry.revision(), "registry received");
                     self.registry = registry;
-                    self.on_registry(now);
+                    self.changed = true;
                 }
                 Err(error) => self.on_unreadable(now, &error),
             },
@@ -204,7 +204,7 @@
                 Ok(_) if revision <= self.registry.revision() => {}
                 Ok(order) => {
                     let _outcome = self.registry.apply(revision, &order);
-                    self.on_registry(now);
+                    self.changed = true;
                 }
                 Err(error) => self.on_unreadable(now, &error),
             },
@@ -221,7 +221,7 @@
                 }
                 if current && entries != 0 && entries != self.subscription.entries {
                     self.subscription.entries = entries;
-                    self.on_registry(now);
+                    self.changed = true;
                 }
                 let known = coordinators.iter().filter_map(|it| it.parse().ok());
                 self.subscription.known = known.collect();
@@ -236,11 +236,11 @@
                         services = self.plan.services.len(),
                         "plan in force"
                     );
-                    self.on_registry(now);
+                    self.changed = true;
                 }
                 Err(error) => self.on_unreadable(now, &error),
             },
-            Publish::Entries(entries) => self.on_neighbours(now, &entries),
+            Publish::Entries(entries) => self.on_neighbours(&entries),
             Publish::Samples(answer) => self.on_samples(&answer),
         }
     }
--- a/components/registry/src/change.rs
+++ b/components/registry/src/change.rs
@@ -12,6 +12,7 @@
 use types::Point;
 use types::target::Role;
 
+use crate::server::Life;
 use crate::state::Registry;
 use gather::Gather;
 
@@ -138,6 +139,8 @@
     /// It leads; the order that says so is proposed.
     leads: bool,
     verify_at: Instant,
+    /// Its last heartbeat before the promotion, if it followed by its own word then.
+    followed: Option<Life>,
 }
 
 /// The machine of one service. All that must survive a change of leader is in the replicated
@@ -207,9 +210,9 @@
             }
             Phase::Choose { after, until } => match registry.leader(&self.service) {
                 Some(leader) if leader.token > *after => {
-                    let promote = Promote::new(now, leader.id.clone(), leader.token);
+                    let promote = Promote::new(now, leader.id.clone(), leader.token, registry);
                     self.phase = Phase::Promote(promote);
-                    self.step_promotion(now, out);
+                    self.step_promotion(now, registry, out);
                 }
                 _ if *until <= now => {
                     self.phase = Phase::Gather(Gather::new(now, signals.term));
@@ -222,7 +225,7 @@
             Phase::Promote(promote) if promote.until <= now => {
                 self.phase = Phase::Gather(Gather::new(now, None));
             }
-            Phase::Promote(_) => self.step_promotion(now, out),
+            Phase::Promote(_) => self.step_promotion(now, registry, out),
         }
     }
 
@@ -246,10 +249,15 @@
         unconfirmed || replaceable || failed
     }
 
-    fn step_promotion(&mut self, now: Instant, out: &mut Vec<Action>) {
+    fn step_promotion(&mut self, now: Instant, registry: &Registry, out: &mut Vec<Action>) {
         let Phase::Promote(promote) = &mut self.phase else {
             return;
         };
+        if promote.accepted && !promote.leads && promote.is_announced(registry) {
+            promote.leads = true;
+            let token = promote.token;
+            out.push(Action::Confirm { token });
+        }
         if promote.call_at.is_some_and(|at| at <= now) {
             promote.call_at = None;
             let (id, token) = (promote.id.clone(), promote.token);
@@ -311,8 +319,22 @@
         leader.is_some_and(|leader| leader.token == self.token && leader.confirmed)
     }
 
-    fn new(now: Instant, id: String, token: u64) -> Self {
+    /// Whether the server has said since that it leads. A server that callers press answers no
+    /// question for a while, but tells of its new role at once.
+    fn is_announced(&self, registry: &Registry) -> bool {
+        let (Some(followed), Some(server)) = (self.followed, registry.server(&self.id)) else {
+            return false;
+        };
+        server.role == Role::Primary
+            && server.life.born == followed.born
+            && server.life.sequence > followed.sequence
+    }
+
+    fn new(now: Instant, id: String, token: u64, registry: &Registry) -> Self {
+        let server = registry.server(&id);
+        let follower = server.filter(|server| server.role == Role::Replica);
         Self {
+            followed: follower.map(|server| server.life),
             id,
             token,
             until: now + PROMOTION,
--- a/components/registry/tests/change.rs
+++ b/components/registry/tests/change.rs
@@ -479,3 +479,66 @@
     world.wait(1100);
     assert_eq!(world.chosen(), None);
 }
+
+/// Gathers, chooses r1, and has the platform accept its promotion.
+fn accepted_promotion(world: &mut World) {
+    world.fail();
+    world.wait(500);
+    world.paused("r1", 4, (3, 90));
+    world.paused("r2", 4, (3, 80));
+    world.commit_choice();
+    let (_, token) = world.promoted().unwrap();
+    world
+        .machine
+        .on_promotion(world.now, token, Promotion::Accepted);
+    world.actions.clear();
+}
+
+// A new primary that callers press had no answer for the question whether it leads, and its promotion was
+// taken for failed after four seconds, although its heartbeats told that it led.
+#[test]
+fn confirms_by_the_word_of_a_new_primary_that_answers_nothing() {
+    let mut world = World::new();
+    accepted_promotion(&mut world);
+    world.wait(200);
+    assert!(
+        !world
+            .actions
+            .iter()
+            .any(|it| matches!(it, Action::Confirm { .. }))
+    );
+    world.register("r1", Role::Primary, false);
+    world.wait(100);
+    assert!(
+        world
+            .actions
+            .iter()
+            .any(|it| matches!(it, Action::Confirm { .. }))
+    );
+}
+
+// A server that was taken for a primary before may have said so before it followed: its word says nothing
+// of the promotion.
+#[test]
+fn confirms_by_no_word_of_a_server_that_was_taken_for_a_primary() {
+    let mut world = World::new();
+    world.fail();
+    world.wait(500);
+    world.paused("r1", 4, (3, 90));
+    world.paused("r2", 4, (3, 80));
+    world.register("r1", Role::Primary, false);
+    world.commit_choice();
+    let (_, token) = world.promoted().unwrap();
+    world
+        .machine
+        .on_promotion(world.now, token, Promotion::Accepted);
+    world.actions.clear();
+    world.register("r1", Role::Primary, false);
+    world.wait(100);
+    assert!(
+        !world
+            .actions
+            .iter()
+            .any(|it| matches!(it, Action::Confirm { .. }))
+    );
+}
