Keep a chosen server that leads already

A leader that took over in the middle of a change stopped the new primary and gathered all logs again. Beside a replica that had left, whose close was taken for silence, a service had no primary for 23 s. It asks the chosen server first whether it leads, and then chooses it again under a token of its own.

Ruled out: reusing the token of the earlier leader, which belongs to it alone. What remains: an order of a still earlier choice that is carried out between the question and the new promotion could cost commits; it needs two choices whose calls the platform has not seen, and was not seen.

Tests: keeps_a_chosen_server_that_leads_already; takes_up_an_unconfirmed_choice and steps_down_a_primary_that_is_not_the_chosen_one wait for the question's time first and check the same after it. Loans get two tests with processes.

--- a/components/coordinator/src/fleet.rs
+++ b/components/coordinator/src/fleet.rs
@@ -212,6 +212,12 @@
     }
 }
 
+/// Whether the server has closed the connection in order.
+fn is_closed(error: &anyhow::Error) -> bool {
+    let error = error.downcast_ref::<std::io::Error>();
+    error.is_some_and(|error| error.kind() == std::io::ErrorKind::UnexpectedEof)
+}
+
 async fn ping<F: Fleet>(open: &mut Option<F>, server: &Server) -> Event {
     let asked = timeout(PING_LIMIT, async {
         let mut conn = take(open, server).await?;
@@ -224,6 +230,7 @@
             *open = Some(conn);
             sample.map_or(Ping::Follows, Ping::Leads)
         }
+        Ok(Err(error)) if is_closed(&error) => Ping::Closed,
         Ok(Err(_)) | Err(_) => Ping::Silent,
     };
     Event::Ping {
--- a/components/registry/src/change.rs
+++ b/components/registry/src/change.rs
@@ -118,6 +118,8 @@
 #[derive(Debug)]
 enum Phase {
     Steady,
+    /// An earlier leader's choice is unconfirmed; the server is asked whether it leads already.
+    Recheck(Recheck),
     Gather(Gather),
     /// A choice is proposed.
     Choose {
@@ -128,6 +130,15 @@
     Promote(Promote),
 }
 
+#[derive(Debug)]
+struct Recheck {
+    id: String,
+    /// Token of the choice.
+    token: u64,
+    until: Instant,
+    leads: bool,
+}
+
 #[derive(Debug)]
 struct Promote {
     id: String,
@@ -174,6 +185,7 @@
     pub fn phase(&self) -> &'static str {
         match self.phase {
             Phase::Steady => "steady",
+            Phase::Recheck(_) => "recheck",
             Phase::Gather(_) => "gather",
             Phase::Choose { .. } => "choose",
             Phase::Promote(_) => "promote",
@@ -190,10 +202,24 @@
         out: &mut Vec<Action>,
     ) {
         if matches!(self.phase, Phase::Steady) && self.must_change(now, registry, signals) {
-            self.phase = Phase::Gather(Gather::new(now, signals.term));
+            self.begin(now, registry, signals, out);
         }
         match &mut self.phase {
             Phase::Steady => {}
+            // It has every commit that it or an earlier primary acknowledged. Its promotion needs a token
+            // of this leader, under which no late order of an earlier one is carried out.
+            Phase::Recheck(recheck) if recheck.leads => {
+                let (id, after) = (recheck.id.clone(), recheck.token);
+                out.push(Action::Choose { id });
+                self.phase = Phase::Choose {
+                    after,
+                    until: now + CHOICE,
+                };
+            }
+            Phase::Recheck(recheck) if recheck.until <= now => {
+                self.phase = Phase::Gather(Gather::new(now, signals.term));
+            }
+            Phase::Recheck(_) => {}
             Phase::Gather(gather) => {
                 gather.ask(now, &self.service, registry, out);
                 if let Some(id) = gather.choice(now, &self.service, registry, signals.led, silence)
@@ -229,6 +255,29 @@
         }
     }
 
+    fn begin(
+        &mut self,
+        now: Instant,
+        registry: &Registry,
+        signals: Signals,
+        out: &mut Vec<Action>,
+    ) {
+        let unconfirmed = registry.leader(&self.service).filter(|it| !it.confirmed);
+        let server = unconfirmed.and_then(|leader| Some((leader, registry.server(&leader.id)?)));
+        let Some((leader, _)) = server.filter(|(_, server)| !server.draining) else {
+            self.phase = Phase::Gather(Gather::new(now, signals.term));
+            return;
+        };
+        let (id, command) = (leader.id.clone(), Command::Verify);
+        out.push(Action::Command { id, command });
+        self.phase = Phase::Recheck(Recheck {
+            id: leader.id.clone(),
+            token: leader.token,
+            until: now + REPEAT,
+            leads: false,
+        });
+    }
+
     fn must_change(&mut self, now: Instant, registry: &Registry, signals: Signals) -> bool {
         let Some(primary) = registry.primary(&self.service) else {
             let replicas = registry.members(&self.service).count() > 0;
@@ -280,6 +329,9 @@
     ) {
         match &mut self.phase {
             Phase::Gather(gather) => gather.on_answer(id, command, status),
+            Phase::Recheck(recheck) if command == Command::Verify && recheck.id == id => {
+                recheck.leads |= status.is_some();
+            }
             // An answer to an earlier question would do as well: whoever leads does not stop leading
             // but by a later promotion.
             Phase::Promote(promote)
--- a/components/registry/tests/change.rs
+++ b/components/registry/tests/change.rs
@@ -337,6 +337,9 @@
     world.apply(&lead);
     let old = world.registry.revision();
     world.step();
+    // It may lead already; without an answer everything is gathered.
+    assert_eq!(world.machine.phase(), "recheck");
+    world.wait(700);
     assert_eq!(world.machine.phase(), "gather");
     world.wait(500);
     world.paused("p", 4, (3, 90));
@@ -370,6 +373,7 @@
     };
     world.apply(&lead);
     world.step();
+    world.wait(700);
     world.wait(500);
     let row = |role, paused| Status {
         role,
@@ -542,3 +546,36 @@
             .any(|it| matches!(it, Action::Confirm { .. }))
     );
 }
+
+// A leader that took over in the middle of a change stopped the new primary again, and waited for every
+// replica: a service had no primary for 23 s beside a replica that had left.
+#[test]
+fn keeps_a_chosen_server_that_leads_already() {
+    let mut world = World::new();
+    let (service, id) = (SERVICE.to_owned(), "r1".to_owned());
+    world.apply(&Order::Lead { service, id });
+    world.step();
+    let verify = Action::Command {
+        id: "r1".to_owned(),
+        command: Command::Verify,
+    };
+    assert_eq!(world.actions, [verify]);
+    let status = Status {
+        role: Role::Primary,
+        term: 4,
+        received: Point {
+            term: Term(4),
+            lsn: Lsn(91),
+        },
+        paused: 0,
+    };
+    world
+        .machine
+        .on_answer("r1", Command::Verify, Some(status), &mut world.actions);
+    world.step();
+    assert_eq!(world.chosen(), Some("r1"));
+    let old = world.registry.leader(SERVICE).unwrap().token;
+    world.commit_choice();
+    // Under a token of its own: a late order of the earlier leader is refused from then on.
+    assert!(world.promoted().unwrap().1 > old);
+}
--- a/tests/machines.rs
+++ b/tests/machines.rs
@@ -8,7 +8,7 @@
 use std::fs;
 use std::time::Duration;
 
-use standin::call;
+use standin::{Caller, call};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -64,7 +64,7 @@
 
 /// A world whose replica s2 is about to leave and has told so, with its last call. It is not gone
 /// yet, and the only one that still receives what the primary commits.
-async fn leaving_replica() -> (World, standin::Caller) {
+async fn leaving_replica() -> (World, Caller) {
     let world = World::start().await;
     world.put_plan(1, 1000).await;
     let mut caller = world.caller().await;
@@ -247,3 +247,72 @@
         assert_eq!(answer.0, 200);
     });
 }
+
+// Four proxies before six connections a server lend them to each other. Statements of one session must not
+// run under the values of another, which used the connection before.
+#[test]
+fn lends_connections_and_keeps_sessions_apart() {
+    run(|| async {
+        let world = World::start_crowded().await;
+        let mut tasks = Vec::new();
+        for (index, proxy) in world.proxies.iter().enumerate() {
+            let address = proxy.callers;
+            tasks.push(spawn_local(async move {
+                let mut caller = Caller::open(address, "till").await;
+                assert_eq!(caller.run(&format!("SET entry e{index}")).await, "ok I");
+                for round in 0..30 {
+                    caller
+                        .until(&format!("WRITE egg{index} {round}"), "ok I")
+                        .await;
+                    assert_eq!(caller.run("BEGIN").await, "ok T");
+                    let read = caller.run(&format!("READ egg{index}")).await;
+                    assert_eq!(read, format!("{round} ok T"));
+                    assert_eq!(caller.run("ROLLBACK").await, "ok I");
+                }
+            }));
+        }
+        for task in tasks {
+            task.await.unwrap();
+        }
+        let mut loans = 0;
+        for proxy in &world.proxies {
+            let metrics = call(proxy.http.unwrap(), "GET", "/metrics", "").await.1;
+            let line = metrics
+                .lines()
+                .find_map(|it| it.strip_prefix("loans_total "));
+            loans += line.unwrap().parse::<u64>().unwrap();
+        }
+        // Two of the four borrow.
+        assert!(loans > 60, "{loans} loans");
+        for index in 0..4 {
+            let item = format!("egg{index}");
+            let server = world.group.server(0);
+            let runs = server.runs.iter().filter(|it| it.text.contains(&item));
+            let own = std::collections::BTreeMap::from([("entry".to_owned(), format!("e{index}"))]);
+            let runs: Vec<_> = runs.collect();
+            assert!(runs.len() >= 60 && runs.iter().all(|it| it.values == own));
+        }
+    });
+}
+
+// The loss of a lender must not keep the entries that borrow from it from serving.
+#[test]
+fn serves_on_while_a_lender_is_lost() {
+    run(|| async {
+        let mut world = World::start_crowded().await;
+        let mut caller = Caller::open(world.proxies[0].callers, "till").await;
+        caller.until("WRITE egg 0", "ok I").await;
+        // Two of the four lend, so that one of these is a lender.
+        for lost in 1..4 {
+            world.proxies[lost].process = None;
+            for round in 0..20 {
+                caller
+                    .until(&format!("WRITE egg {lost}{round}"), "ok I")
+                    .await;
+            }
+            world.start_proxy(lost).await;
+            sleep(Duration::from_millis(1500)).await;
+        }
+        caller.until("READ egg", "319 ok I").await;
+    });
+}
--- a/tests/machines/world.rs
+++ b/tests/machines/world.rs
@@ -76,12 +76,17 @@
     pub promoter: SocketAddr,
     pub coordinators: Vec<Coordinator>,
     pub proxies: Vec<Proxy>,
+    /// All proxies are in one failure domain.
+    pub together: bool,
+    /// Connections that each server takes.
+    pub connections: usize,
 }
 
 /// A proxy and where it takes callers.
 #[derive(Debug)]
 pub struct Proxy {
     pub callers: SocketAddr,
+    pub http: Option<SocketAddr>,
     pub process: Option<Process>,
 }
 
@@ -117,19 +122,46 @@
             promoter,
             coordinators,
             proxies: Vec::new(),
+            together: false,
+            connections: 40,
         };
         for index in 0..3 {
             world.start_coordinator(index, true);
         }
         for index in 0..proxies {
-            let (callers, process) = (free().await, None);
-            world.proxies.push(Proxy { callers, process });
+            world.proxies.push(Proxy {
+                callers: free().await,
+                http: None,
+                process: None,
+            });
             world.start_proxy(index).await;
         }
         world.send_heartbeats();
         world
     }
 
+    /// A world with four proxies of one domain, which outnumber the connections of each server.
+    pub async fn start_crowded() -> Self {
+        let limit = 6;
+        let mut world = Self::start_with(Group::start(3).await, 0).await;
+        (world.together, world.connections) = (true, limit);
+        for index in 0..3 {
+            world.group.server(index).limit = limit;
+        }
+        for index in 0..4 {
+            world.proxies.push(Proxy {
+                callers: free().await,
+                http: None,
+                process: None,
+            });
+            world.start_proxy(index).await;
+        }
+        world.put_plan(1, 1000).await;
+        // Until the proxies know each other.
+        sleep(Duration::from_secs(2)).await;
+        world
+    }
+
     pub fn seeds(&self) -> String {
         let seeds = self
             .coordinators
@@ -156,12 +188,14 @@
     }
 
     pub async fn start_proxy(&mut self, index: usize) {
+        let domain = if self.together { 0 } else { index };
         let (http, link, seeds) = (free().await, free().await, self.seeds());
         let port = self.coordinators[0].link.port();
         let proxy = &mut self.proxies[index];
         let callers = proxy.callers;
+        proxy.http = Some(http);
         let settings = format!(
-            r#"{{"instance":"p{index}","domain":"d{index}","domains":["d0","d1","d2"],"listen":"{callers}",
+            r#"{{"instance":"p{index}","domain":"d{domain}","domains":["d0","d1","d2"],"listen":"{callers}",
             "link":"{link}","http":"{http}","link_port":{port},"seeds":[{seeds}],"stop_timeout_s":3}}"#
         );
         let path = self.folder.path().join(format!("p{index}.json"));
@@ -208,7 +242,8 @@
 
     /// Sends a plan until it is acknowledged.
     pub async fn put_plan(&self, version: u64, timeout_ms: u64) {
-        let body = plan(version, timeout_ms);
+        let limit = format!("\"connection_limit\":{}", self.connections);
+        let body = plan(version, timeout_ms).replace("\"connection_limit\":40", &limit);
         for _ in 0..200 {
             if send(&self.addresses(), "PUT", "/-/configuration", &body)
                 .await
