--- /dev/null
+++ b/components/registry/tests/world/mod.rs
@@ -0,0 +1,132 @@
+//! A service with a primary and two replicas, its machine, and a clock.
+
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+use std::time::{Duration, Instant};
+
+use registry::change::{Action, Command, Signals, Status, Verdict};
+use registry::{Life, Machine, Order, Registry, Server};
+use types::target::Role;
+use types::{Lsn, Name, Point, Term};
+
+pub const SERVICE: &str = "orders";
+
+/// A service with a primary and two replicas, its machine, and a clock.
+pub struct World {
+    pub registry: Registry,
+    pub machine: Machine,
+    pub now: Instant,
+    pub verdict: Verdict,
+    /// Silence of all servers.
+    pub silence: Duration,
+    /// End of the primary's log when it was last seen to lead.
+    pub led: Option<Point>,
+    pub actions: Vec<Action>,
+}
+
+impl World {
+    pub fn new() -> Self {
+        let mut world = Self {
+            registry: Registry::default(),
+            machine: Machine::new(SERVICE),
+            now: Instant::now(),
+            verdict: Verdict::Serving,
+            silence: Duration::ZERO,
+            led: Some(Point {
+                term: Term(3),
+                lsn: Lsn(90),
+            }),
+            actions: Vec::new(),
+        };
+        world.register("p", Role::Primary, false);
+        world.register("r1", Role::Replica, false);
+        world.register("r2", Role::Replica, false);
+        world
+    }
+
+    pub fn register(&mut self, id: &str, role: Role, draining: bool) {
+        let port = 1000 + u16::from(*id.as_bytes().last().unwrap());
+        let sequence = self.registry.revision() + 1;
+        let server = Server {
+            id: id.to_owned(),
+            service: SERVICE.to_owned(),
+            address: ([10, 0, 0, 1], port).into(),
+            domain: Name::try_from("a").unwrap(),
+            slots: 5,
+            draining,
+            role,
+            life: Life { born: 1, sequence },
+        };
+        self.apply(&Order::Register(server));
+    }
+
+    pub fn apply(&mut self, order: &Order) {
+        self.registry.apply(self.registry.revision() + 1, order);
+    }
+
+    pub fn step(&mut self) {
+        let signals = Signals {
+            verdict: self.verdict,
+            term: Some(3),
+            led: self.led,
+        };
+        let silence = self.silence;
+        self.machine.step(
+            self.now,
+            &self.registry,
+            signals,
+            |_| silence,
+            &mut self.actions,
+        );
+    }
+
+    pub fn wait(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+        self.step();
+    }
+
+    /// A replica confirms the pause under a term and tells what it has received.
+    pub fn paused(&mut self, id: &str, term: u64, received: (u64, u64)) {
+        let status = Status {
+            role: Role::Replica,
+            term: term - 1,
+            received: Point {
+                term: Term(received.0),
+                lsn: Lsn(received.1),
+            },
+            paused: term,
+        };
+        let command = Command::Pause(term);
+        self.machine
+            .on_answer(id, command, Some(status), &mut self.actions);
+        self.step();
+    }
+
+    pub fn chosen(&self) -> Option<&str> {
+        self.actions.iter().rev().find_map(|action| match action {
+            Action::Choose { id } => Some(id.as_str()),
+            _ => None,
+        })
+    }
+
+    pub fn promoted(&self) -> Option<(&str, u64)> {
+        self.actions.iter().rev().find_map(|action| match action {
+            Action::Promote { id, token } => Some((id.as_str(), *token)),
+            _ => None,
+        })
+    }
+
+    /// Commits the choice that was made last.
+    pub fn commit_choice(&mut self) {
+        let id = self.chosen().unwrap().to_owned();
+        let service = SERVICE.to_owned();
+        self.apply(&Order::Lead { service, id });
+        self.step();
+    }
+
+    pub fn fail(&mut self) {
+        self.verdict = Verdict::Failed;
+        self.step();
+        self.wait(500);
+    }
+}
