Give each test with processes hosts of its own

All tests used 127.0.0.11 to 13 with ports that were free on 127.0.0.1, so that two of them could take the same one; a coordinator that can't listen ends, and a cluster of three is not founded without it. They are kept now and shown when a plan is not acknowledged.

--- a/tests/machines/world.rs
+++ b/tests/machines/world.rs
@@ -22,12 +22,16 @@
 pub struct Process(Child);
 
 impl Process {
+    /// Starts a program. What it writes goes to a file beside its settings.
     pub fn start(program: &str, settings: &PathBuf) -> Self {
+        let log = settings.with_extension("log");
+        let log = fs::File::options().create(true).append(true).open(log);
+        let log = log.unwrap();
         let child = Command::new(program)
             .arg("--settings")
             .arg(settings)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stdout(Stdio::from(log.try_clone().unwrap()))
+            .stderr(Stdio::from(log))
             .spawn()
             .unwrap();
         Self(child)
@@ -103,9 +107,15 @@
         let promoter = platform.start(group.clone(), delay).await;
         // All links have one port, as on the machines, and so an address each.
         let port = free().await.port();
+        let host = |index: u8| {
+            // Tests run as processes beside each other: a host that two of them used could have the port
+            // of the one taken by the other.
+            let [.., high, low] = std::process::id().to_be_bytes();
+            [127, 1 + high % 250, low, index]
+        };
         let mut coordinators = Vec::new();
         for index in 1..=3 {
-            let host = [127, 0, 0, 10 + index];
+            let host = host(index);
             let mut http = free().await;
             http.set_ip(host.into());
             coordinators.push(Coordinator {
@@ -254,7 +264,20 @@
             }
             sleep(Duration::from_millis(50)).await;
         }
-        panic!("plan {version} not acknowledged");
+        panic!("plan {version} not acknowledged\n{}", self.logs());
+    }
+
+    /// The last lines that each coordinator wrote.
+    fn logs(&self) -> String {
+        let tail = |it: &Coordinator| {
+            let path = self.folder.path().join(format!("{}.log", it.name));
+            let text = fs::read_to_string(path).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().rev().take(20).collect();
+            let lines: Vec<&str> = lines.into_iter().rev().collect();
+            format!("{}:\n{}", it.name, lines.join("\n"))
+        };
+        let tails: Vec<String> = self.coordinators.iter().map(tail).collect();
+        tails.join("\n")
     }
 
     /// The plan as each coordinator that answers tells it, directly or through the leader.
