Compare the log of a primary that has stepped down

Once every replica had answered or was lost, the most advanced replica was chosen, also where the old primary had stepped down with a longer log. A leader that took over during a cut had not seen that primary lead and so did not use its log at all: commits that it had acknowledged with a leaving server of its own zone were lost.

Ruled out: silence of a draining server, which still sends heartbeats; removal by its last call.

Test: promotes_a_stepped_down_primary_that_alone_has_a_commit failed before.

--- a/components/registry/src/change/gather.rs
+++ b/components/registry/src/change/gather.rs
@@ -152,7 +152,15 @@
             (point.term, point.lsn, !server.draining, id)
         });
         if is_complete {
-            return best.map(|(_, server)| server.id.clone());
+            // The old primary may alone have what it acknowledged with a replica that is lost.
+            let old = primary.zip(self.stepped_down);
+            let ahead = |(_, status): &(&Server, Status)| {
+                let end = (status.received.term, status.received.lsn);
+                best.is_none_or(|(point, _)| (point.term, point.lsn) < end)
+            };
+            let old = old.filter(ahead).map(|(server, _)| server);
+            let best = old.or(best.map(|(_, server)| server));
+            return best.map(|server| server.id.clone());
         }
         let (end, old) = (self.acknowledged(service, registry, led)?, primary?);
         match best {
--- a/components/registry/tests/change.rs
+++ b/components/registry/tests/change.rs
@@ -341,3 +341,31 @@
     world.wait(1100);
     assert_eq!(world.chosen(), None);
 }
+
+// A leader that took over during a cut had not seen the primary lead. When the primary answered again and
+// stepped down, its log was left out, and after the wait for a silent replica one that lacked its
+// acknowledged commits was chosen.
+#[test]
+fn promotes_a_stepped_down_primary_that_alone_has_a_commit() {
+    let mut world = World::new();
+    world.led = None;
+    world.fail();
+    step_down(&mut world, (3, 95));
+    world.paused("r1", 4, (3, 90));
+    world.silence = Duration::from_secs(13);
+    world.wait(2_000);
+    assert_eq!(world.chosen(), Some("p"));
+}
+
+// Where the replicas that answer have all that it has, one of them leads.
+#[test]
+fn prefers_a_replica_to_a_stepped_down_primary_with_the_same_log() {
+    let mut world = World::new();
+    world.led = None;
+    world.fail();
+    step_down(&mut world, (3, 90));
+    world.paused("r1", 4, (3, 90));
+    world.silence = Duration::from_secs(13);
+    world.wait(2_000);
+    assert_eq!(world.chosen(), Some("r1"));
+}
