Wait for space on a full disk instead of ending

Change: a write without space is taken back (the segment is cut to its last record, a new file is removed) and stays in the queue, which tries it again every 100 ms. To the consensus node a full disk is a slow one. Opening the data folder waits alike. A failed sync or any other error is still final.

--- a/components/consensus/src/store.rs
+++ b/components/consensus/src/store.rs
@@ -5,7 +5,8 @@
 /// Carries out writes in the order of their sequence numbers.
 ///
 /// The calling loop owns the store and reports each completed [`Store::sync`] to the node with the
-/// sequence number of the last write before it. After an error every further call fails.
+/// sequence number of the last write before it. After an error every further call fails, unless
+/// [`Store::is_full`] tells that the write can be repeated.
 pub trait Store {
     type Error;
 
@@ -22,6 +23,9 @@
     ///
     /// Returns an error if the sync, or any write or sync before it, failed.
     fn sync(&mut self) -> Result<(), Self::Error>;
+
+    /// Whether a write failed only for lack of space. It has changed nothing and can be repeated.
+    fn is_full(error: &Self::Error) -> bool;
 }
 
 impl Contents {
--- a/components/control/src/log.rs
+++ b/components/control/src/log.rs
@@ -23,16 +23,31 @@
         result: writes::Completion<Wal<Native>>,
     ) -> Result<()> {
         let mut actions = Vec::new();
-        match self.disk.on_batch_result(result) {
-            Ok(seq) => self.node.on_synced(now, seq, &mut actions),
+        let was_full = self.disk.is_full();
+        match self.disk.on_batch_result(now, result) {
+            Ok(Some(seq)) => self.node.on_synced(now, seq, &mut actions),
+            Ok(None) => {}
             Err(error) => {
                 tracing::error!(error = %format!("{error:#}"), "disk write failed; refusing all further requests");
                 self.node.on_write_failed(now, &mut actions);
             }
         }
+        self.report_full_disk(was_full);
         self.run_node_actions(now, actions)
     }
 
+    fn report_full_disk(&self, was_full: bool) {
+        let is_full = self.disk.is_full();
+        self.metrics.disk_full.set(is_full.into());
+        match (was_full, is_full) {
+            (false, true) => {
+                tracing::warn!("disk full; writes wait for space, other instances commit meanwhile")
+            }
+            (true, false) => tracing::info!("disk has space again"),
+            _ => {}
+        }
+    }
+
     /// Proposes a command to the replicated log. A refusal gives the waiter back.
     pub(crate) fn propose(
         &mut self,
@@ -178,12 +193,28 @@
 
     fn apply_command(&mut self, now: Instant, position: Position, data: &[u8]) -> Result<()> {
         let index = position.index;
-        // A command that this build can't decode was committed by another version. Skipping it
-        // would make this instance's catalog diverge.
-        let raw: wire::Command = wire::decode(data).context("decode a committed command")?;
-        let command = Command::try_from(raw.clone())
-            .map_err(|findings| anyhow::anyhow!("{findings:?}"))
-            .context("validate a committed command")?;
+        let decoded = wire::decode(data).and_then(|raw: wire::Command| {
+            let command = Command::try_from(raw.clone());
+            let command = command.map_err(|findings| anyhow::anyhow!("{findings:?}"))?;
+            Ok((raw, command))
+        });
+        let (raw, command) = match decoded {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                // Another build has committed it. All instances of this build skip it alike. Ending
+                // here would end each of them, again after every restart.
+                tracing::error!(
+                    index,
+                    error = %format!("{error:#}"),
+                    "can't decode a committed command; skipping it"
+                );
+                self.metrics.common.refusals.add("invalid_command");
+                if let Some(waiter) = self.take_waiter(position) {
+                    self.abandon(waiter);
+                }
+                return Ok(());
+            }
+        };
         let outcome = self.catalog.apply(Revision(index), &command);
         self.streams.publish(Revision(index), &raw);
         if let Some(leader) = &mut self.leader {
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -6,7 +6,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 
 /// Reasons of the counter `refusals`.
-const REFUSAL_REASONS: [&str; 14] = [
+const REFUSAL_REASONS: [&str; 15] = [
     "not_leader",
     "no_quorum",
     "not_ready",
@@ -21,6 +21,7 @@
     "bad_method",
     "unauthorized",
     "unknown_identity",
+    "invalid_command",
 ];
 /// Reasons of the counter `retries`.
 const RETRY_REASONS: [&str; 5] = ["position", "promote", "follow", "follow_later", "proposal"];
@@ -36,6 +37,8 @@
     pub revision: Gauge,
     /// Entries connected to this instance.
     pub entries: Gauge,
+    /// 1 while writes wait for space on the disk, otherwise 0.
+    pub disk_full: Gauge,
     /// Changes of primary without progress, by reason.
     pub stalled: Reasons,
     detect: Histogram,
@@ -57,6 +60,7 @@
             leader: common.gauge("control_leader", "Whether this instance leads, 1 or 0"),
             revision: common.gauge("catalog_revision", "Revision of the catalog"),
             entries: common.gauge("control_entries", "Entries connected to this instance"),
+            disk_full: common.gauge("disk_full", "1 while writes wait for space on the disk"),
             stalled: common.reasons(
                 "failover_stalls",
                 "Changes of primary without progress, by reason",
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Context, Result, ensure};
 use catalog::Catalog;
-use cluster::writes;
+use cluster::{data, writes};
 use consensus::{Epoch, Identity, Node};
 use disk::{Native, Wal};
 use rand::SeedableRng;
@@ -84,10 +84,12 @@
 /// Fails if the data folder can't be opened, an address can't be bound, or a write to the disk
 /// failed.
 pub async fn run(settings: settings::Control) -> Result<()> {
-    let stop = observe::stop::signal().context("install signal handlers")?;
+    let mut stop = Box::pin(observe::stop::signal().context("install signal handlers")?);
     let mut rng: SmallRng = rand::make_rng();
-    let (wal, opened) = Wal::open(Native, &settings.data, &mut rng)
-        .with_context(|| format!("open {}", settings.data.display()))?;
+    let (wal, opened) = tokio::select! {
+        opened = data::open(&settings.data, &mut rng) => opened?,
+        _signal = &mut stop => return Ok(()),
+    };
     let link = TcpListener::bind(settings.link)
         .await
         .with_context(|| format!("listen on {}", settings.link))?;
@@ -226,7 +228,7 @@
             self.on_event(now, event)?;
         }
         self.on_tick(now)?;
-        self.disk.start_batch(&self.events, Event::DiskBatch);
+        self.disk.start_batch(now, &self.events, Event::DiskBatch);
         Ok(!self.may_stop(now))
     }
 
@@ -250,6 +252,7 @@
             self.confirmation_deadline(),
             Some(self.next_hello),
             self.stop_deadline,
+            self.disk.deadline(),
         ];
         deadlines
             .into_iter()
--- a/components/coordinator/src/log.rs
+++ b/components/coordinator/src/log.rs
@@ -29,17 +29,32 @@
         completion: writes::Completion<Wal<Native>>,
     ) -> Result<()> {
         let mut actions = Vec::new();
-        match self.disk.on_batch_result(completion) {
-            Ok(seq) => self.node.on_synced(now, seq, &mut actions),
+        let was_full = self.disk.is_full();
+        match self.disk.on_batch_result(now, completion) {
+            Ok(Some(seq)) => self.node.on_synced(now, seq, &mut actions),
+            Ok(None) => {}
             Err(error) => {
                 tracing::error!(error = %format!("{error:#}"), "disk write failed; refusing all further requests");
                 self.node.on_write_failed(now, &mut actions);
                 self.write_failed_at = Some(now);
             }
         }
+        self.report_full_disk(was_full);
         self.run_consensus_actions(now, actions)
     }
 
+    fn report_full_disk(&self, was_full: bool) {
+        let is_full = self.disk.is_full();
+        self.metrics.disk_full.set(is_full.into());
+        match (was_full, is_full) {
+            (false, true) => {
+                tracing::warn!("disk full; writes wait for space, other instances commit meanwhile")
+            }
+            (true, false) => tracing::info!("disk has space again"),
+            _ => {}
+        }
+    }
+
     /// Proposes an order. If the proposal is refused, the waiter is returned.
     pub(crate) fn propose(
         &mut self,
--- a/components/coordinator/src/metrics.rs
+++ b/components/coordinator/src/metrics.rs
@@ -5,13 +5,16 @@
 use prometheus_client::metrics::histogram::Histogram;
 
 /// Reasons that the counter `refusals` reports.
-const REFUSAL_REASONS: [&str; 6] = [
+const REFUSAL_REASONS: [&str; 9] = [
     "invalid",
     "not_leader",
     "no_quorum",
     "no_plan",
     "lost_leadership",
     "version",
+    "invalid_order",
+    "registry_full",
+    "unknown_service",
 ];
 
 #[derive(Debug)]
@@ -26,6 +29,8 @@
     pub version: Gauge,
     /// Entries subscribed to this instance.
     pub entries: Gauge,
+    /// 1 while writes wait for space on the disk, otherwise 0.
+    pub disk_full: Gauge,
     /// Duration of a change of primary, from its start to its confirmation.
     pub change_seconds: Histogram,
     /// Time from the proposal of an order to its commit.
@@ -41,6 +46,7 @@
         let revision = common.gauge("revision", "Index of the last applied order");
         let version = common.gauge("plan_version", "Version of the plan in force");
         let entries = common.gauge("entries", "Entries subscribed to this instance");
+        let disk_full = common.gauge("disk_full", "1 while writes wait for space on the disk");
         let change_seconds = common.histogram(
             "primary_change_seconds",
             "Time of a change of primary, from its begin to its confirmation",
@@ -57,6 +63,7 @@
             revision,
             version,
             entries,
+            disk_full,
             change_seconds,
             commit_seconds,
         }
--- a/components/coordinator/src/process.rs
+++ b/components/coordinator/src/process.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{Context, Result, bail};
 use cluster::roster::{Roster, Size};
-use cluster::{Peers, peers, writes};
+use cluster::{Peers, data, peers, writes};
 use consensus::{Epoch, Identity, Node};
 use disk::{Native, Wal};
 use rand::SeedableRng;
@@ -127,10 +127,12 @@
     settings: settings::Coordinator,
     settings_path: PathBuf,
 ) -> Result<()> {
-    let stop = observe::stop::signal().context("install signal handlers")?;
+    let mut stop = Box::pin(observe::stop::signal().context("install signal handlers")?);
     let mut rng: SmallRng = rand::make_rng();
-    let (wal, opened) = Wal::open(Native, &settings.data, &mut rng)
-        .with_context(|| format!("open {}", settings.data.display()))?;
+    let (wal, opened) = tokio::select! {
+        opened = data::open(&settings.data, &mut rng) => opened?,
+        _signal = &mut stop => return Ok(()),
+    };
     let link_listener = TcpListener::bind(settings.link)
         .await
         .with_context(|| format!("listen on {}", settings.link))?;
@@ -272,7 +274,7 @@
             self.on_event(now, event)?;
         }
         self.on_tick(now)?;
-        self.disk.start_batch(&self.events, Event::Disk);
+        self.disk.start_batch(now, &self.events, Event::Disk);
         if self
             .write_failed_at
             .is_some_and(|at| now >= at + WRITE_FAILURE_EXIT_DELAY)
@@ -297,6 +299,7 @@
             self.leadership.as_ref().map(Leadership::deadline),
             self.stop_deadline,
             self.write_failed_at.map(|at| at + WRITE_FAILURE_EXIT_DELAY),
+            self.disk.deadline(),
         ];
         let first = deadlines.into_iter().flatten().min();
         first.map_or(self.maintenance_at, |first| first.min(self.maintenance_at))
--- a/components/disk/src/file_system.rs
+++ b/components/disk/src/file_system.rs
@@ -1,7 +1,7 @@
 //! File operations, as a trait so that tests can inject failures.
 
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
+use std::io::{self, Seek as _, SeekFrom, Write as _};
 use std::path::Path;
 
 /// File operations of the log.
@@ -57,7 +57,7 @@
     /// Returns an error if not all bytes could be written; some of them may have been.
     fn append(&mut self, file: &mut Self::File, bytes: &[u8]) -> io::Result<()>;
 
-    /// Sets the length of a file, in bytes.
+    /// Sets the length of a file, in bytes. Later appends start at its new end.
     ///
     /// # Errors
     ///
@@ -146,7 +146,10 @@
     }
 
     fn set_length(&mut self, file: &mut File, length: u64) -> io::Result<()> {
-        file.set_len(length)
+        file.set_len(length)?;
+        // A file from `create` writes at its own offset, which may be beyond the new end.
+        file.seek(SeekFrom::Start(length))?;
+        Ok(())
     }
 
     fn sync(&mut self, file: &mut File) -> io::Result<()> {
--- a/components/disk/src/lib.rs
+++ b/components/disk/src/lib.rs
@@ -20,13 +20,20 @@
 //! may be extended before its bytes are written. Any other damaged record makes the open fail, even
 //! the last one, as it may have been acknowledged. Recovered data is synced before it is returned.
 
+//!
+//! A write that finds no space is taken back: a segment is cut to its last complete record, and a
+//! new file is removed. The log stays usable, and the write can be repeated ([`Full`]). After any
+//! other error, and after a failed sync in particular, nothing more is written.
+
 mod file_names;
 mod file_system;
 mod frame;
+mod full;
 mod open;
 mod record;
 mod replay;
 mod wal;
 
 pub use file_system::{Files, Native};
+pub use full::{Full, is_full};
 pub use wal::{Opened, Wal};
--- a/components/disk/src/open.rs
+++ b/components/disk/src/open.rs
@@ -10,6 +10,7 @@
 use crate::file_names::{self, FolderListing};
 use crate::file_system::Files;
 use crate::frame;
+use crate::full;
 use crate::record::{self, FORMAT_VERSION, SnapshotHeader, Vote};
 use crate::replay::Replay;
 use crate::wal::{Opened, Wal};
@@ -22,7 +23,8 @@
     /// # Errors
     ///
     /// Fails if another process uses the folder, if a file operation fails, or if the content is
-    /// damaged, inconsistent or of an unsupported version.
+    /// damaged, inconsistent or of an unsupported version. With [`Full`](crate::Full), opening can
+    /// be tried again.
     pub fn open(fs: F, folder: &Path, rng: &mut impl Rng) -> Result<(Self, Opened)> {
         let mut wal = Self {
             fs,
@@ -32,6 +34,7 @@
             segment_file: None,
             segment_size: 0,
             is_dirty: false,
+            has_partial_record: false,
             epoch_runs: vec![(0, Epoch::default())],
             last_index: 0,
             snapshot_index: 0,
@@ -44,9 +47,10 @@
     }
 
     fn recover(&mut self, rng: &mut impl Rng) -> Result<Opened> {
-        self.fs.create_folder(&self.folder)?;
-        let lock = self.path(file_names::LOCK_FILE);
-        self.lock = Some(self.fs.lock(&lock).context("the folder is in use")?);
+        self.fs.create_folder(&self.folder).map_err(full::convert)?;
+        let lock = self.fs.lock(&self.path(file_names::LOCK_FILE));
+        let lock = lock.map_err(full::convert).context("lock the folder")?;
+        self.lock = Some(lock);
         let listing = FolderListing::new(self.fs.list(&self.folder)?)?;
         for name in &listing.temporary_files {
             let path = self.path(name);
@@ -170,7 +174,7 @@
         let Some(entries) = replay.entries_after(snapshot)? else {
             self.last_index = snapshot.index;
             self.epoch_runs = vec![(snapshot.index, snapshot.epoch)];
-            self.start_segment(true)?;
+            self.start_segment(snapshot, true)?;
             return Ok((Vec::new(), torn_bytes));
         };
         self.last_index = last.index;
@@ -182,11 +186,13 @@
     /// Opens the last segment for appending and cuts off an incomplete record at its end.
     fn open_last_segment(&mut self) -> Result<()> {
         let Some((number, _)) = self.segments.last() else {
-            return self.start_segment(false);
+            return self.start_segment(self.last_position(), false);
         };
         let path = self.path(&file_names::segment_name(*number));
         let mut file = self.fs.open_append(&path)?;
-        self.fs.set_length(&mut file, self.segment_size as u64)?;
+        self.fs
+            .set_length(&mut file, self.segment_size as u64)
+            .map_err(full::convert)?;
         // Bytes that were written but not synced before the stop are reported as durable.
         self.fs.sync(&mut file)?;
         self.segment_file = Some(file);
--- a/components/disk/src/wal.rs
+++ b/components/disk/src/wal.rs
@@ -8,6 +8,7 @@
 use crate::file_names::{self, TEMPORARY_SUFFIX};
 use crate::file_system::Files;
 use crate::frame;
+use crate::full::{self, is_full};
 use crate::record::{self, Record, SnapshotHeader, Vote};
 
 /// Size of a segment from which on the next one is started.
@@ -28,7 +29,8 @@
 /// Write-ahead log and the other files of a control instance.
 ///
 /// Writes must be issued in the order of the consensus node. They are durable after
-/// [`Wal::sync`]. After any error, every later call fails: the operating system may have dropped
+/// [`Wal::sync`]. A write that fails with [`Full`](crate::Full) has changed nothing and can be
+/// repeated. After any other error, every later call fails: the operating system may have dropped
 /// unsynced bytes on a failed sync, and a later sync of the same file would succeed without them.
 #[derive(Debug)]
 pub struct Wal<F: Files> {
@@ -44,6 +46,8 @@
     pub(crate) segment_size: usize,
     /// The last segment has unsynced bytes.
     pub(crate) is_dirty: bool,
+    /// The last segment may end with a part of a record. Invariant: cut before the next append.
+    pub(crate) has_partial_record: bool,
     /// First index and epoch of each run of entries with equal epochs. The first run starts at the
     /// position before the first entry.
     pub(crate) epoch_runs: Vec<(u64, Epoch)>,
@@ -63,30 +67,42 @@
     /// if they can't be encoded or written.
     pub fn append(&mut self, entries: &[Entry]) -> Result<()> {
         self.run_operation("append to the log", |wal| {
-            for entry in entries {
-                let Position { epoch, index } = entry.position;
+            for (entry, index) in entries.iter().zip(wal.last_index + 1..) {
                 ensure!(
-                    index == wal.last_index + 1,
-                    "entry {index} does not follow entry {}",
-                    wal.last_index
+                    entry.position.index == index,
+                    "entry {} does not follow entry {}",
+                    entry.position.index,
+                    index - 1
                 );
-                wal.last_index = index;
-                if wal
-                    .epoch_runs
-                    .last()
-                    .is_none_or(|(_, last_epoch)| *last_epoch != epoch)
-                {
-                    wal.epoch_runs.push((index, epoch));
-                }
             }
             wal.append_record(&Record::Entries(entries.iter().map(Into::into).collect()))?;
-            if wal.segment_size >= SEGMENT_ROTATION_BYTES {
-                wal.start_segment(false)?;
+            for entry in entries {
+                wal.extend_epoch_runs(entry.position);
+                wal.last_index = entry.position.index;
             }
-            Ok(())
+            wal.rotate_segment()
         })
     }
 
+    fn extend_epoch_runs(&mut self, position: Position) {
+        let last_run = self.epoch_runs.last();
+        if last_run.is_none_or(|(_, epoch)| *epoch != position.epoch) {
+            self.epoch_runs.push((position.index, position.epoch));
+        }
+    }
+
+    /// Starts a new segment if the last one is large enough.
+    fn rotate_segment(&mut self) -> Result<()> {
+        if self.segment_size < SEGMENT_ROTATION_BYTES {
+            return Ok(());
+        }
+        match self.start_segment(self.last_position(), false) {
+            // The present segment goes on; the next append tries again.
+            Err(error) if is_full(&error) => Ok(()),
+            result => result,
+        }
+    }
+
     /// Removes the entries from an index on.
     ///
     /// # Errors
@@ -96,9 +112,10 @@
     pub fn truncate(&mut self, from: u64) -> Result<()> {
         self.run_operation("truncate the log", |wal| {
             ensure!(from > wal.snapshot_index, "entry {from} is in the snapshot");
+            wal.append_record(&Record::Truncate(from))?;
             wal.last_index = wal.last_index.min(from - 1);
             wal.epoch_runs.retain(|(first, _)| *first < from);
-            wal.append_record(&Record::Truncate(from))
+            Ok(())
         })
     }
 
@@ -131,7 +148,7 @@
                 wal.last_index
             );
             wal.write_snapshot(snapshot)?;
-            wal.start_segment(false)?;
+            wal.start_segment(wal.last_position(), false)?;
             wal.remove_before(index)
         })
     }
@@ -145,9 +162,9 @@
         self.run_operation("install a snapshot", |wal| {
             let Position { epoch, index } = snapshot.position;
             wal.write_snapshot(snapshot)?;
+            wal.start_segment(snapshot.position, true)?;
             wal.last_index = index;
             wal.epoch_runs = vec![(index, epoch)];
-            wal.start_segment(true)?;
             wal.remove_before(index)
         })
     }
@@ -161,7 +178,8 @@
         self.run_operation("sync the log", Self::sync_segment)
     }
 
-    /// Runs an operation, which `action` names in errors. Once one has failed, all later ones fail.
+    /// Runs an operation, which `action` names in errors. Once one has failed, all later ones fail,
+    /// unless it was taken back for lack of space.
     fn run_operation(
         &mut self,
         action: &str,
@@ -169,20 +187,37 @@
     ) -> Result<()> {
         ensure!(!self.is_failed, "an earlier write to the disk failed");
         let result = operation(self);
-        self.is_failed = result.is_err();
+        self.is_failed = result.as_ref().is_err_and(|error| !is_full(error));
         result.with_context(|| format!("{action} in {}", self.folder.display()))
     }
 
     fn append_record(&mut self, record: &Record<'_>) -> Result<()> {
         let mut bytes = Vec::new();
         frame::append_record(&mut bytes, &record::encode(record)?)?;
+        self.remove_partial_record()?;
         let file = self.segment_file.as_mut().context("no open segment")?;
         self.is_dirty = true;
-        self.fs.append(file, &bytes)?;
+        self.has_partial_record = true;
+        self.fs.append(file, &bytes).map_err(full::convert)?;
+        self.has_partial_record = false;
         self.segment_size += bytes.len();
         Ok(())
     }
 
+    /// Cuts the last segment to its last complete record, if an append to it has failed.
+    fn remove_partial_record(&mut self) -> Result<()> {
+        if let Some(file) = self
+            .segment_file
+            .as_mut()
+            .filter(|_| self.has_partial_record)
+        {
+            let length = self.segment_size as u64;
+            self.fs.set_length(file, length).map_err(full::convert)?;
+        }
+        self.has_partial_record = false;
+        Ok(())
+    }
+
     fn sync_segment(&mut self) -> Result<()> {
         if let Some(file) = self.segment_file.as_mut().filter(|_| self.is_dirty) {
             self.fs.sync(file)?;
@@ -191,26 +226,47 @@
         Ok(())
     }
 
-    /// Starts a new segment, durably. With `fresh`, the earlier segments become void.
-    pub(crate) fn start_segment(&mut self, fresh: bool) -> Result<()> {
+    /// Position of the last entry.
+    pub(crate) fn last_position(&self) -> Position {
+        let epoch = self.epoch_runs.last().map_or(Epoch(0), |(_, epoch)| *epoch);
+        Position::new(epoch, self.last_index)
+    }
+
+    /// Starts a new segment after `last`, durably. With `fresh`, the earlier segments become void.
+    pub(crate) fn start_segment(&mut self, last: Position, fresh: bool) -> Result<()> {
+        self.remove_partial_record()?;
         self.sync_segment()?;
         let number = self.segments.last().map_or(1, |(number, _)| number + 1);
-        let path = self.folder.join(file_names::segment_name(number));
-        self.segment_file = Some(self.fs.create(&path)?);
-        self.segment_size = 0;
-        let index = self.last_index;
-        let epoch = self.epoch_runs.last().map_or(0, |(_, epoch)| epoch.0);
-        self.append_record(&Record::Start {
-            epoch,
-            index,
+        let mut bytes = Vec::new();
+        let start = Record::Start {
+            epoch: last.epoch.0,
+            index: last.index,
             fresh,
-        })?;
-        self.sync_segment()?;
+        };
+        frame::append_record(&mut bytes, &record::encode(&start)?)?;
+        let file = self.create_file(&file_names::segment_name(number), &bytes)?;
         self.fs.sync_folder(&self.folder)?;
-        self.segments.push((number, index));
+        self.segment_file = Some(file);
+        self.segment_size = bytes.len();
+        self.segments.push((number, last.index));
         Ok(())
     }
 
+    /// Creates a file with synced content. Without space for it, the file is removed.
+    fn create_file(&mut self, name: &str, bytes: &[u8]) -> Result<F::File> {
+        let path = self.folder.join(name);
+        let mut file = self.fs.create(&path).map_err(full::convert)?;
+        if let Err(error) = self.fs.append(&mut file, bytes) {
+            let error = full::convert(error);
+            if is_full(&error) {
+                self.fs.remove(&path)?;
+            }
+            return Err(error);
+        }
+        self.fs.sync(&mut file)?;
+        Ok(file)
+    }
+
     fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
         let Position { epoch, index } = snapshot.position;
         let header = record::encode(&SnapshotHeader {
@@ -230,12 +286,11 @@
         for record in records {
             frame::append_record(&mut bytes, record)?;
         }
-        let path = self.folder.join(name);
-        let temporary = self.folder.join(format!("{name}{TEMPORARY_SUFFIX}"));
-        let mut file = self.fs.create(&temporary)?;
-        self.fs.append(&mut file, &bytes)?;
-        self.fs.sync(&mut file)?;
-        self.fs.rename(&temporary, &path)?;
+        let temporary_name = format!("{name}{TEMPORARY_SUFFIX}");
+        self.create_file(&temporary_name, &bytes)?;
+        let (temporary, path) = (self.folder.join(temporary_name), self.folder.join(name));
+        // The file keeps its old content until the rename, which a repeated call makes up for.
+        self.fs.rename(&temporary, &path).map_err(full::convert)?;
         self.fs.sync_folder(&self.folder)?;
         Ok(())
     }
@@ -283,4 +338,8 @@
     fn sync(&mut self) -> Result<()> {
         Self::sync(self)
     }
+
+    fn is_full(error: &anyhow::Error) -> bool {
+        is_full(error)
+    }
 }
