Refuse at the edge what the log can't read, and skip what another build has committed

Cause: a heartbeat was checked when its committed order was decoded, not when it was accepted. An id of 300 bytes ended every coordinator at the commit, and again after each restart. The registry holds no more servers than fit into a message. Servers of a service that the plan does not name are acknowledged and not registered. Proxies of the process tests have hosts of their own (they took ports of 127.0.0.1 that other processes could take as well).

--- a/components/coordinator/src/log.rs
+++ b/components/coordinator/src/log.rs
@@ -179,11 +179,28 @@
     }
 
     fn apply(&mut self, now: Instant, position: Position, data: &[u8]) -> Result<()> {
-        // An order that this build can't decode was committed by another version. Skipping it would
-        // make this registry differ from those of the other instances.
-        let raw: wire::Order = wire::decode(data).context("decode a committed order")?;
-        let order = Order::try_from(raw.clone()).context("decode a committed order")?;
         let index = position.index;
+        let decoded = wire::decode(data).and_then(|raw: wire::Order| {
+            let order = Order::try_from(raw.clone())?;
+            Ok((raw, order))
+        });
+        let (raw, order) = match decoded {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                // Another build has committed it. All instances of this build skip it alike. Ending
+                // here would end each of them, again after every restart.
+                tracing::error!(
+                    index,
+                    error = %format!("{error:#}"),
+                    "can't decode a committed order; skipping it"
+                );
+                self.metrics.common.refusals.add("invalid_order");
+                if let Some(proposal) = self.proposals.remove(&index) {
+                    self.refuse_lost(proposal.waiter);
+                }
+                return Ok(());
+            }
+        };
         let outcome = self.registry.apply(index, &order);
         match &order {
             Order::Plan { version, body } => {
@@ -212,7 +229,7 @@
             let duration = now.saturating_duration_since(proposal.proposed_at);
             self.metrics.commit_seconds.observe(duration.as_secs_f64());
             if proposal.epoch == position.epoch {
-                self.confirm_commit(proposal.waiter);
+                self.confirm_commit(proposal.waiter, outcome);
             } else {
                 self.refuse_lost(proposal.waiter);
             }
@@ -245,7 +262,11 @@
     fn compact(&mut self, now: Instant) -> Result<()> {
         self.snapshot_index = self.applied_index;
         let mut bytes = Vec::new();
-        wire::encode(&wire::Registry::from(&self.registry), &mut bytes)?;
+        if let Err(error) = wire::encode(&wire::Registry::from(&self.registry), &mut bytes) {
+            // The log keeps what a snapshot would replace.
+            tracing::error!(error = %format!("{error:#}"), "can't encode a snapshot; keeping the log");
+            return Ok(());
+        }
         let mut actions = Vec::new();
         // Refused while an earlier snapshot is being sent to a member; the next one covers this.
         let _refused = self
@@ -280,5 +301,5 @@
         return Ok(Registry::default());
     }
     let raw: wire::Registry = wire::decode(bytes)?;
-    Registry::try_from(raw)
+    Ok(Registry::from(raw))
 }
--- a/components/coordinator/src/requests.rs
+++ b/components/coordinator/src/requests.rs
@@ -6,7 +6,7 @@
 use consensus::Role;
 use http::StatusCode;
 use observe::http::{Reply as HttpReply, Request, Response};
-use registry::{Life, Order, Server};
+use registry::{Life, Order, Outcome, Server};
 
 use crate::api::{Api, Call, Reply};
 use crate::event::StreamId;
@@ -93,6 +93,12 @@
         server: Server,
         reply: HttpReply,
     ) -> Result<()> {
+        let is_registered = self.registry.server(&server.id).is_some();
+        if !is_registered && !self.is_planned(&server.service) {
+            // No route leads to it, and its address may be one of a server that is in use.
+            self.metrics.common.refusals.add("unknown_service");
+            return self.accept_heartbeat(&path, reply);
+        }
         if let Some(leadership) = &mut self.leadership {
             leadership.on_heartbeat(now, &server.id);
         }
@@ -103,11 +109,20 @@
         if !self.node.leader_confirmed(now) {
             return self.refuse(&path, reply, "no_quorum");
         }
+        self.accept_heartbeat(&path, reply)
+    }
+
+    fn accept_heartbeat(&self, path: &str, reply: HttpReply) -> Result<()> {
         let address = self.settings.http.to_string();
-        reply.send(A::reply(&path, Reply::HeartbeatAccepted(&address)));
+        reply.send(A::reply(path, Reply::HeartbeatAccepted(&address)));
         Ok(())
     }
 
+    /// Whether the plan has a service; true before the first plan.
+    fn is_planned(&self, service: &str) -> bool {
+        self.plan.version == 0 || self.plan.services.contains_key(service)
+    }
+
     fn on_leave(
         &mut self,
         now: Instant,
@@ -130,11 +145,7 @@
             leadership.on_leave(now, id);
             if !server.draining {
                 let life = life.unwrap_or(server.life);
-                let server = Server {
-                    draining: true,
-                    life: life.max(server.life),
-                    ..server.clone()
-                };
+                let server = server.leaving(life);
                 let waiter = Waiter::Acknowledgement { path, reply };
                 return self.propose_or_refuse(now, &Order::Register(server), waiter);
             }
@@ -188,8 +199,12 @@
     }
 
     /// Replies to the request whose order was committed.
-    pub(crate) fn confirm_commit(&mut self, waiter: Waiter) {
+    pub(crate) fn confirm_commit(&mut self, waiter: Waiter, outcome: Outcome) {
         match waiter {
+            Waiter::Heartbeat { path, reply } if outcome == Outcome::Full => {
+                self.metrics.common.refusals.add("registry_full");
+                reply.send(A::reply(&path, Reply::Unavailable("registry_full")));
+            }
             Waiter::Heartbeat { path, reply } => {
                 let address = self.settings.http.to_string();
                 reply.send(A::reply(&path, Reply::HeartbeatAccepted(&address)));
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use registry::{Order, Registry, Sample};
+use registry::{Order, Sample};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use types::Name;
@@ -208,23 +208,28 @@
             }
         };
         match message {
-            Publish::Snapshot(raw) => match Registry::try_from(raw) {
+            Publish::Snapshot(raw) => {
                 // A coordinator that is behind sends what this proxy has already applied.
-                Ok(registry) if registry.revision() < self.registry.revision() => {}
-                Ok(registry) => {
-                    tracing::info!(revision = registry.revision(), "registry received");
-                    self.registry = registry;
+                if raw.revision >= self.registry.revision() {
+                    tracing::info!(revision = raw.revision, "registry received");
+                    self.registry = raw.into();
                     self.registry_changed = true;
                 }
-                Err(error) => self.on_invalid_message(now, &error),
-            },
+            }
+            Publish::Update { revision, .. } if revision <= self.registry.revision() => {}
             Publish::Update { revision, order } => match Order::try_from(order) {
-                Ok(_) if revision <= self.registry.revision() => {}
                 Ok(order) => {
                     let _outcome = self.registry.apply(revision, &order);
                     self.registry_changed = true;
                 }
-                Err(error) => self.on_invalid_message(now, &error),
+                Err(error) => {
+                    tracing::error!(
+                        revision,
+                        error = %format!("{error:#}"),
+                        "invalid order from a coordinator; skipping it"
+                    );
+                    self.metrics.common.refusals.add("coordinator");
+                }
             },
             Publish::Pulse {
                 current,
--- a/components/registry/src/convert.rs
+++ b/components/registry/src/convert.rs
@@ -1,14 +1,10 @@
 //! Conversions from and to the wire types.
 
-use anyhow::{Context, Error, Result, ensure};
-use types::Name;
+use anyhow::{Error, Result};
 
 use crate::server::{Life, Server};
 use crate::state::{Order, Primary, Registry};
 
-/// Limit of server ids and service names.
-const MAX_NAME_BYTES: usize = 200;
-
 impl From<&Server> for wire::Server {
     fn from(server: &Server) -> Self {
         Self {
@@ -25,34 +21,6 @@
     }
 }
 
-impl TryFrom<wire::Server> for Server {
-    type Error = Error;
-
-    fn try_from(raw: wire::Server) -> Result<Self> {
-        ensure!(
-            (1..=MAX_NAME_BYTES).contains(&raw.id.len()),
-            "server id must have 1 to {MAX_NAME_BYTES} bytes"
-        );
-        ensure!(
-            (1..=MAX_NAME_BYTES).contains(&raw.service.len()),
-            "service name must have 1 to {MAX_NAME_BYTES} bytes"
-        );
-        Ok(Self {
-            id: raw.id,
-            service: raw.service,
-            address: raw.address.parse().context("invalid server address")?,
-            domain: Name::try_from(raw.domain).context("invalid failure domain")?,
-            slots: raw.slots,
-            draining: raw.draining,
-            role: raw.role.into(),
-            life: Life {
-                born: raw.born,
-                sequence: raw.sequence,
-            },
-        })
-    }
-}
-
 impl From<&Order> for wire::Order {
     fn from(order: &Order) -> Self {
         match order {
@@ -122,36 +90,42 @@
     }
 }
 
-impl TryFrom<wire::Registry> for Registry {
-    type Error = Error;
-
-    fn try_from(raw: wire::Registry) -> Result<Self> {
-        let server = |raw: wire::Server| {
-            let server = Server::try_from(raw)?;
-            Ok((server.id.clone(), server))
+impl From<wire::Registry> for Registry {
+    /// Servers that this build refuses are left out, as coordinators skip their orders: a registry
+    /// that an earlier build has saved must not keep a process from starting.
+    fn from(raw: wire::Registry) -> Self {
+        let mut registry = Self {
+            revision: raw.revision,
+            plan_version: raw.version,
+            plan_document: raw.body.into_vec(),
+            ..Self::default()
         };
-        let ended = |raw: wire::Ended| {
+        for server in raw.servers {
+            let id = server.id.clone();
+            match Server::try_from(server) {
+                Ok(server) => registry.insert(server),
+                Err(error) => tracing::error!(
+                    id,
+                    error = %format!("{error:#}"),
+                    "invalid server in a registry; leaving it out"
+                ),
+            }
+        }
+        for raw in raw.ended {
             let life = Life {
                 born: raw.born,
                 sequence: raw.sequence,
             };
-            (raw.id, life)
-        };
-        let leader = |raw: wire::Leader| {
+            registry.ended_lives.insert(raw.id, life);
+        }
+        for raw in raw.leaders {
             let chosen = Primary {
                 id: raw.id,
                 token: raw.token,
                 confirmed: raw.confirmed,
             };
-            (raw.service, chosen)
-        };
-        Ok(Self {
-            revision: raw.revision,
-            plan_version: raw.version,
-            plan_document: raw.body.into_vec(),
-            servers: raw.servers.into_iter().map(server).collect::<Result<_>>()?,
-            ended_lives: raw.ended.into_iter().map(ended).collect(),
-            chosen_primaries: raw.leaders.into_iter().map(leader).collect(),
-        })
+            registry.chosen_primaries.insert(raw.service, chosen);
+        }
+        registry
     }
 }
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -8,6 +8,11 @@
 
 /// Limit of the remembered ended lives; the oldest are dropped first.
 const MAX_ENDED_LIVES: usize = 2000;
+/// Limit of the encoded size of all servers. With the largest plan and the ended lives, a registry
+/// then fits into one message ([`wire::MAX_BYTES`]).
+const MAX_SERVERS_BYTES: usize = 3 << 20;
+/// Upper bound of what a server takes in a message beside its names.
+const SERVER_OVERHEAD_BYTES: usize = 100;
 
 /// A command in the replicated log.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -43,6 +48,8 @@
     Applied,
     /// Ignored, as the state is already newer.
     Superseded,
+    /// Ignored, as the registry holds as many servers as fit into a message.
+    Full,
 }
 
 /// The server that was chosen as primary of a service.
@@ -62,7 +69,10 @@
     pub(crate) plan_version: u64,
     /// Empty before the first plan.
     pub(crate) plan_document: Vec<u8>,
+    /// Invariant: [`Self::servers_bytes`] is the sum of their sizes. Changed by
+    /// [`Self::insert`] and [`Self::end_life`] only.
     pub(crate) servers: BTreeMap<String, Server>,
+    pub(crate) servers_bytes: usize,
     /// Latest ended life by server id.
     pub(crate) ended_lives: BTreeMap<String, Life>,
     pub(crate) chosen_primaries: BTreeMap<String, Primary>,
@@ -95,6 +105,7 @@
             plan_version: self.plan_version,
             plan_document: Vec::new(),
             servers: self.servers.clone(),
+            servers_bytes: self.servers_bytes,
             ended_lives: self.ended_lives.clone(),
             chosen_primaries: self.chosen_primaries.clone(),
         }
@@ -212,6 +223,10 @@
         if self.is_outdated(server) {
             return Outcome::Superseded;
         }
+        let is_known = self.servers.contains_key(&server.id);
+        if !is_known && self.servers_bytes + size(server) > MAX_SERVERS_BYTES {
+            return Outcome::Full;
+        }
         let replaced: Vec<(String, Life)> = self
             .others_at_address(server)
             .map(|other| (other.id.clone(), other.life))
@@ -219,10 +234,17 @@
         for (id, life) in replaced {
             self.end_life(&id, life);
         }
-        self.servers.insert(server.id.clone(), server.clone());
+        self.insert(server.clone());
         Outcome::Applied
     }
 
+    pub(crate) fn insert(&mut self, server: Server) {
+        self.servers_bytes += size(&server);
+        if let Some(replaced) = self.servers.insert(server.id.clone(), server) {
+            self.servers_bytes -= size(&replaced);
+        }
+    }
+
     fn remove(&mut self, id: &str, life: Life) -> Outcome {
         match self.servers.get(id) {
             Some(server) if server.life.born > life.born => Outcome::Superseded,
@@ -235,7 +257,9 @@
     }
 
     fn end_life(&mut self, id: &str, life: Life) {
-        self.servers.remove(id);
+        if let Some(server) = self.servers.remove(id) {
+            self.servers_bytes -= size(&server);
+        }
         // Any later heartbeat of the same life is outdated, whatever its number.
         let life = Life {
             sequence: u64::MAX,
@@ -252,3 +276,8 @@
         }
     }
 }
+
+/// Upper bound of the size of a server in a message, in bytes.
+fn size(server: &Server) -> usize {
+    SERVER_OVERHEAD_BYTES + server.id.len() + server.service.len() + server.domain.as_str().len()
+}
--- a/components/registry/tests/state.rs
+++ b/components/registry/tests/state.rs
@@ -3,20 +3,21 @@
 
 use registry::{Life, Order, Outcome, Registry, Server};
 use rstest::rstest;
-use types::Name;
 use types::target::Role;
 
 fn server(id: &str, port: u16, born: u64, sequence: u64) -> Server {
-    Server {
+    let raw = wire::Server {
         id: id.to_owned(),
         service: "orders".to_owned(),
-        address: ([10, 0, 0, 1], port).into(),
-        domain: Name::try_from("a").unwrap(),
+        address: format!("10.0.0.1:{port}"),
+        domain: "a".to_owned(),
         slots: 5,
         draining: false,
-        role: Role::Replica,
-        life: Life { born, sequence },
-    }
+        role: Role::Replica.into(),
+        born,
+        sequence,
+    };
+    Server::try_from(raw).unwrap()
 }
 
 fn apply(registry: &mut Registry, order: &Order) -> Outcome {
@@ -175,3 +176,53 @@
     let raw: wire::Registry = wire::decode(&bytes).unwrap();
     assert_eq!(Registry::try_from(raw).unwrap(), registry);
 }
+
+// Servers of another writer must not make the registry too large for a snapshot, without which no
+// instance could start again.
+#[test]
+fn refuses_more_servers_than_fit_into_a_message() {
+    let mut registry = Registry::default();
+    let id = |number: u32| format!("{number:0>200}");
+    let last = (1..u16::MAX).find(|port| {
+        let mut server = server(&id((*port).into()), *port, u64::from(*port), 1);
+        server.service = "s".repeat(200);
+        register(&mut registry, &server) == Outcome::Full
+    });
+    assert!(last.is_some(), "every server was registered");
+
+    // A known server may still change, and there is room again once another has left.
+    let known = server(&id(3), 3, 3, 2);
+    assert_eq!(register(&mut registry, &known), Outcome::Applied);
+    let leave = Order::Remove {
+        id: id(4),
+        life: Life {
+            born: 4,
+            sequence: 1,
+        },
+    };
+    apply(&mut registry, &leave);
+    let late = server("late", 9, 70_000, 1);
+    assert_eq!(register(&mut registry, &late), Outcome::Applied);
+
+    let largest_plan = vec![b'x'; 4 << 20];
+    let order = Order::Plan {
+        version: 1,
+        body: largest_plan,
+    };
+    apply(&mut registry, &order);
+    let mut bytes = Vec::new();
+    wire::encode(&wire::Registry::from(&registry), &mut bytes).unwrap();
+}
+
+// An earlier build has saved servers that this one refuses. They must not keep an instance from
+// starting, and the others must stay.
+#[test]
+fn decodes_a_registry_without_its_invalid_servers() {
+    let mut registry = Registry::default();
+    register(&mut registry, &server("s1", 1, 1, 1));
+    let mut raw = wire::Registry::from(&registry);
+    let mut invalid = raw.servers[0].clone();
+    invalid.id = "x".repeat(300);
+    raw.servers.push(invalid);
+    assert_eq!(Registry::from(raw), registry);
+}
--- a/components/registry/tests/world/mod.rs
+++ b/components/registry/tests/world/mod.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use registry::failover::{Action, Command, Signals, Status, Verdict};
-use registry::{Life, Machine, Order, Registry, Server};
+use registry::{Machine, Order, Registry, Server};
 use types::target::Role;
-use types::{Lsn, Name, Point, Term};
+use types::{Lsn, Point, Term};
 
 pub const SERVICE: &str = "orders";
 
@@ -46,17 +46,18 @@
     pub fn register(&mut self, id: &str, role: Role, draining: bool) {
         let port = 1000 + u16::from(*id.as_bytes().last().unwrap());
         let sequence = self.registry.revision() + 1;
-        let server = Server {
+        let raw = wire::Server {
             id: id.to_owned(),
             service: SERVICE.to_owned(),
-            address: ([10, 0, 0, 1], port).into(),
-            domain: Name::try_from("a").unwrap(),
+            address: format!("10.0.0.1:{port}"),
+            domain: "a".to_owned(),
             slots: 5,
             draining,
-            role,
-            life: Life { born: 1, sequence },
+            role: role.into(),
+            born: 1,
+            sequence,
         };
-        self.apply(&Order::Register(server));
+        self.apply(&Order::Register(Server::try_from(raw).unwrap()));
     }
 
     pub fn apply(&mut self, order: &Order) {
--- a/tests/machines/system.rs
+++ b/tests/machines/system.rs
@@ -17,6 +17,23 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 const TEST_TIMEOUT: Duration = Duration::from_secs(50);
 
+/// First host of the proxies; those before it are the coordinators'.
+const FIRST_PROXY_HOST: u8 = 10;
+
+/// A host of this test. Tests run as concurrent processes. If two of them shared an IP address, one
+/// could take a port that the other has found unused.
+fn host(index: u8) -> [u8; 4] {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    [127, 1 + high % 250, low, index]
+}
+
+async fn proxy_address(index: usize) -> SocketAddr {
+    let mut address = unused_address().await;
+    let index = u8::try_from(index).unwrap();
+    address.set_ip(host(FIRST_PROXY_HOST + index).into());
+    address
+}
+
 /// A process. Dropping it kills the process.
 #[derive(Debug)]
 pub struct Process(Child);
@@ -107,12 +124,6 @@
         let promoter = platform.start(group.clone(), delay).await;
         // All links use the same port, as on the users' machines, so each needs its own IP address.
         let port = unused_address().await.port();
-        let host = |index: u8| {
-            // Tests run as concurrent processes. If two of them shared an IP address, one could
-            // take the port of the other.
-            let [.., high, low] = std::process::id().to_be_bytes();
-            [127, 1 + high % 250, low, index]
-        };
         let mut coordinators = Vec::new();
         for index in 1..=3 {
             let host = host(index);
@@ -139,12 +150,7 @@
             system.start_coordinator(index, true);
         }
         for index in 0..proxies {
-            system.proxies.push(Proxy {
-                listen_address: unused_address().await,
-                http: None,
-                process: None,
-            });
-            system.start_proxy(index).await;
+            system.add_proxy(index).await;
         }
         system.send_heartbeats();
         system
@@ -159,12 +165,7 @@
             system.group.server(index).max_connections = limit;
         }
         for index in 0..4 {
-            system.proxies.push(Proxy {
-                listen_address: unused_address().await,
-                http: None,
-                process: None,
-            });
-            system.start_proxy(index).await;
+            system.add_proxy(index).await;
         }
         system.put_plan(1, 1000).await;
         // Time for the proxies to discover each other.
@@ -197,11 +198,20 @@
         coordinator.process = Some(Process::start(program, &path));
     }
 
+    async fn add_proxy(&mut self, index: usize) {
+        self.proxies.push(Proxy {
+            listen_address: proxy_address(index).await,
+            http: None,
+            process: None,
+        });
+        self.start_proxy(index).await;
+    }
+
     pub async fn start_proxy(&mut self, index: usize) {
         let domain = if self.share_domain { 0 } else { index };
         let (http, link, seed_addresses) = (
-            unused_address().await,
-            unused_address().await,
+            proxy_address(index).await,
+            proxy_address(index).await,
             self.seed_addresses(),
         );
         let port = self.coordinators[0].link.port();
@@ -218,6 +228,12 @@
         proxy.process = Some(Process::start(program, &path));
     }
 
+    /// Whether the process of a coordinator has ended by itself.
+    pub fn has_ended(&mut self, index: usize) -> bool {
+        let process = self.coordinators[index].process.as_mut();
+        process.is_some_and(|process| process.0.try_wait().unwrap().is_some())
+    }
+
     pub fn data_folder(&self, index: usize) -> PathBuf {
         let name = &self.coordinators[index].name;
         self.folder.path().join(format!("{name}.data"))
