Limit what a lender sends to a full server, and serve first who can be answered in time

Cause: several entries share the slots of a server and none knows what the others run. A statement on a borrowed connection that met a full server, or a log without its position, was sent again at once. Queues kept the order of arrival, so that at a crest everyone was answered just after the goal. Change: a new crate admission, without I/O: a window of running statements for each server, which adapts to rejections, and a queue that serves, within a rank, first who can be answered within the goal. Lenders count answers to know what runs, and tell a borrower that waits, whose reads then go elsewhere; a loan that met a full server is returned; requests that nothing needs are withdrawn; a read of a busy server tries the next one at once, one of a lagging server behind a lender after 20 ms. Streams between lenders have a version of their own. Ruled out: one lender for each server in its domain.

--- a/components/cluster/tests/writes.rs
+++ b/components/cluster/tests/writes.rs
@@ -98,7 +98,7 @@
         });
         let now = Instant::now();
         queue.push(1, Write::Truncate(1));
-        assert!(run_batch(&mut queue, now).await.unwrap().is_err());
+        run_batch(&mut queue, now).await.unwrap().unwrap_err();
         assert!(!queue.is_full());
         assert!(run_batch(&mut queue, now).await.is_none(), "repeated");
     };
--- a/components/proxy/src/answer.rs
+++ b/components/proxy/src/answer.rs
@@ -17,6 +17,9 @@
 const NOT_LEADING_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// First delay before a statement is retried at a server that is out of capacity.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// Delay before a read is retried at a server whose log lacks the position, if no other server may
+/// serve it.
+const LAGGING_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Limit of the doublings of `BUSY_RETRY_DELAY`.
 const MAX_BUSY_DOUBLINGS: usize = 4;
 /// Maximum number of attempts that each go to another server and are answered `Busy` or `ReadOnly`.
@@ -172,6 +175,9 @@
         };
         let (session, server) = (conn.session, conn.server);
         self.release(now, key, state != State::Idle);
+        if code == Code::Busy {
+            self.return_idle_loan(key);
+        }
         if session.is_none() {
             self.on_not_run(now, server, code);
         }
@@ -196,8 +202,16 @@
             // Counts repeated attempts at the same server.
             query.tried_servers.push(server);
         }
-        self.metrics.common.retries.add(code.label());
-        if now >= query.wait_deadline || attempts >= MAX_ATTEMPTS * 2 {
+        let (wait_deadline, reason) = (query.wait_deadline, code.label());
+        self.metrics.common.retries.add(reason);
+        // A lender knows when the server may have a slot, and holds the next attempt back until then.
+        let is_paced = code == Code::Busy && self.servers[server].uses_lenders;
+        let goes_elsewhere =
+            matches!(code, Code::Busy | Code::Lagging) && self.has_untried_server(now, key);
+        if is_paced || goes_elsewhere {
+            pause = Duration::ZERO;
+        }
+        if now >= wait_deadline || attempts >= MAX_ATTEMPTS * 2 {
             let reason = if code == Code::ReadOnly {
                 Reason::NoPrimary
             } else {
@@ -216,7 +230,12 @@
                 self.mark_unusable(now, index);
                 NOT_LEADING_RETRY_DELAY
             }
-            Code::Busy => BUSY_RETRY_DELAY,
+            Code::Busy => {
+                self.servers[index].on_rejected(now);
+                BUSY_RETRY_DELAY
+            }
+            // Each attempt passes a lender, which all statements of the service need.
+            Code::Lagging if self.servers[index].uses_lenders => LAGGING_RETRY_DELAY,
             _ => Duration::ZERO,
         }
     }
@@ -240,7 +259,9 @@
             return self.release(now, key, state != State::Idle);
         };
         let elapsed = now.saturating_duration_since(conn.used_at);
-        self.servers[index].on_served(now, elapsed);
+        if error != Some(Code::Busy) {
+            self.servers[index].on_served(now, elapsed);
+        }
         let latency = self.servers[index].latency();
         let Some(session) = self.sessions.get_mut(session_key) else {
             return self.release(now, key, state != State::Idle);
@@ -263,6 +284,9 @@
                 conn.prepared.clear();
             }
             self.release(now, key, state != State::Idle);
+            if code == Code::Busy {
+                self.return_idle_loan(key);
+            }
             return self.retry_not_run(now, session_key, index, code);
         }
         let service = &mut self.services[query.route.service];
@@ -305,6 +329,8 @@
         self.dirty_sessions.push(session_key);
         self.ready_sessions.push(session_key);
         if keeps_conn {
+            // The server has a slot for another statement while the transaction is idle.
+            self.due_services.push(query.route.service);
             if let Some(conn) = self.conns.get_mut(key) {
                 conn.used_at = now;
             }
--- a/components/proxy/src/borrow.rs
+++ b/components/proxy/src/borrow.rs
@@ -17,6 +17,7 @@
 use crate::process::Loop;
 use crate::protocol::Protocol;
 use crate::server::{Conn, Loan};
+use crate::session::Urgency;
 
 /// Cause of a lost loan that says nothing about the server.
 pub const CAUSE_LENDER_LOST: &str = "lender_lost";
@@ -221,7 +222,7 @@
         };
         // The channel is new and has room.
         let _sent = out.try_send(Borrow::Open {
-            version: wire::VERSION,
+            version: wire::LOAN_VERSION,
             instance: self.settings.instance.to_string(),
         });
         lender.state = State::Up(out);
@@ -229,7 +230,7 @@
 
     /// Asks a lender for a connection to a server. Returns false if no lender is available or being
     /// dialed.
-    pub(crate) fn ask_lender(&mut self, now: Instant, index: usize, rank: u8) -> bool {
+    pub(crate) fn ask_lender(&mut self, now: Instant, index: usize, urgency: Urgency) -> bool {
         let address = match self.choose_lender(now, self.servers[index].service) {
             Choice::Ask(address) => address,
             Choice::Dialing => return true,
@@ -237,10 +238,12 @@
         };
         self.lenders.last_loan += 1;
         let loan = self.lenders.last_loan;
+        let start_in = urgency.start_by.saturating_duration_since(now);
         let request = Borrow::Ask {
             loan,
             server: self.servers[index].id.clone(),
-            rank,
+            rank: urgency.rank,
+            start_in_ms: u32::try_from(start_in.as_millis()).unwrap_or(u32::MAX),
         };
         if !self.lenders.send(address, request) {
             self.on_lender_lost(now, address, CAUSE_LENDER_LOST);
@@ -317,10 +320,39 @@
                     self.on_conn_lost(now, key, "closed");
                 }
             }
+            Lend::Queued { loan } => {
+                if let Some(key) = conn(loan) {
+                    self.on_queued(now, key);
+                }
+            }
             Lend::Pulse => {}
         }
     }
 
+    /// Has statements that another server may run tried there; the request stays in the queue.
+    fn on_queued(&mut self, now: Instant, key: ConnKey) {
+        let Some(conn) = self.conns.get(key) else {
+            return;
+        };
+        let server = &mut self.servers[conn.server];
+        server.on_full_slots(now);
+        self.due_services.push(server.service);
+    }
+
+    /// Withdraws requests for connections that no statement waits for any more.
+    pub(crate) fn withdraw_requests(&mut self) {
+        let is_needless = |conn: &Conn| {
+            let requested = conn.loan.is_some_and(|loan| !loan.granted);
+            let service = &self.services[self.servers[conn.server].service];
+            requested && service.waiting.is_empty() && service.unusable_since.is_none()
+        };
+        let needless = self.conns.iter().filter(|(_, conn)| is_needless(conn));
+        for key in needless.map(|(key, _)| key).collect::<Vec<_>>() {
+            self.return_loan(key, true);
+            self.close_conn(key);
+        }
+    }
+
     fn on_granted(&mut self, now: Instant, key: ConnKey) {
         let Some(conn) = self.conns.get_mut(key) else {
             return;
@@ -335,6 +367,16 @@
         self.release(now, key, false);
     }
 
+    /// Returns a loan that a full server has left idle at once. The lender decides when the next
+    /// statement may be sent; on the same loan it would be sent immediately.
+    pub(crate) fn return_idle_loan(&mut self, key: ConnKey) {
+        let is_idle = |conn: &Conn| conn.loan.is_some() && conn.pending.is_empty();
+        if self.conns.get(key).is_some_and(is_idle) {
+            self.return_loan(key, true);
+            self.close_conn(key);
+        }
+    }
+
     /// Returns loans that are unused at the end of the turn. A loan of an unusable primary is first
     /// used to probe whether the primary leads.
     pub(crate) fn return_idle_loans(&mut self, now: Instant) {
--- a/components/proxy/src/caller.rs
+++ b/components/proxy/src/caller.rs
@@ -21,6 +21,8 @@
 /// Part of the route's timeout that a statement may wait before it is refused, in percent. A
 /// refused caller has the remaining time to try elsewhere.
 const WAIT_PERCENT: u32 = 45;
+/// Part of the route's goal in which a statement has to be sent to be answered within it, in percent.
+const START_PERCENT: u32 = 80;
 /// If a service has no usable primary for this long, it is not expected back within moments, and
 /// statements that need it are refused early.
 const OUTAGE_THRESHOLD: Duration = Duration::from_secs(2);
@@ -358,6 +360,7 @@
             received_moment,
             deadline: now + route.timeout,
             wait_deadline: now + wait_limit,
+            start_by: now + route.goal * START_PERCENT / 100,
             hedge_at: None,
             retry_at: None,
             stage: Stage::Waiting,
--- a/components/proxy/src/choose.rs
+++ b/components/proxy/src/choose.rs
@@ -29,6 +29,8 @@
     pub running: usize,
     /// Smoothed response time.
     pub latency: Duration,
+    /// All slots of the server are taken, as far as is known.
+    pub full: bool,
     /// The server is skipped until then, after failures.
     pub down_until: Option<Instant>,
     /// How far the server's log lags; `None` if unknown.
@@ -67,19 +69,23 @@
 /// Returns the cheapest server that may serve a read at the position that the primary had `age`
 /// ago, or `None` if the read has to wait.
 ///
-/// A server that seems to lack the position is not chosen, and one that was tried before is chosen
-/// only if no other is left.
+/// A server that seems to lack the position is not chosen. One whose slots are taken, or that was
+/// tried before, is chosen only if no other is left.
 #[must_use]
 pub fn choose(candidates: &[Candidate], age: Duration, now: Instant) -> Option<usize> {
-    let cheapest = |allow_tried: bool| {
+    let cheapest = |allow_full: bool, allow_tried: bool| {
         let fitting = candidates.iter().filter(|candidate| {
             let usable = !candidate.draining
                 && (candidate.has_idle || candidate.can_open)
                 && candidate.is_up(now);
-            usable && candidate.has_reached(age) && (allow_tried || !candidate.tried)
+            let wanted = (allow_full || !candidate.full) && (allow_tried || !candidate.tried);
+            usable && candidate.has_reached(age) && wanted
         });
         let cheapest = fitting.min_by(|a, b| a.cost().total_cmp(&b.cost()));
         cheapest.map(|candidate| candidate.index)
     };
-    cheapest(false).or_else(|| cheapest(true))
+    cheapest(false, false)
+        .or_else(|| cheapest(false, true))
+        .or_else(|| cheapest(true, false))
+        .or_else(|| cheapest(true, true))
 }
--- a/components/proxy/src/connection.rs
+++ b/components/proxy/src/connection.rs
@@ -13,7 +13,7 @@
 use crate::process::Loop;
 use crate::protocol::{Command, Forward, Protocol};
 use crate::server::{Conn, Purpose};
-use crate::session::{Kind, Stage};
+use crate::session::{Kind, Stage, Urgency};
 use crate::timer::Timer;
 use clock::Clock;
 
@@ -31,13 +31,12 @@
 const STARTUP_TIMEOUT: Duration = Duration::from_millis(1500);
 
 impl<P: Protocol, C: Clock> Loop<P, C> {
-    /// Starts opening a connection, or asks a lender for one. A lender serves the lowest rank
-    /// first.
-    pub(crate) fn open(&mut self, now: Instant, index: usize, rank: u8) {
+    /// Starts opening a connection, or asks a lender for one.
+    pub(crate) fn open(&mut self, now: Instant, index: usize, urgency: Urgency) {
         if !self.servers[index].uses_lenders {
             return self.open_own(now, index);
         }
-        if !self.ask_lender(now, index, rank) && self.servers[index].has_own_room(now) {
+        if !self.ask_lender(now, index, urgency) && self.servers[index].has_own_room(now) {
             self.open_own(now, index);
         }
     }
--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -11,7 +11,7 @@
 use crate::process::Loop;
 use crate::protocol::{Access, Protocol};
 use crate::refuse::Reason;
-use crate::session::{Kind, Query, Stage};
+use crate::session::{Kind, Query, Stage, Urgency};
 use crate::timer::Timer;
 use clock::Clock;
 
@@ -47,7 +47,7 @@
         if query.retry_at.is_some_and(|until| now < until) {
             return false;
         }
-        let (service, rank) = (query.route.service, query.route.priority);
+        let (service, urgency) = (query.route.service, query.urgency());
         let (index, after) = match destination {
             Destination::Bound(conn) => {
                 self.start_on(now, key, conn, None, false);
@@ -70,10 +70,13 @@
                 (index, Some(after.point))
             }
         };
+        if !self.servers[index].uses_lenders && !self.has_slot(now, index) {
+            return false;
+        }
         let Some(conn) = self.take_idle_conn(key, index) else {
             self.servers[index].overcommit(now);
             if self.servers[index].has_room(now) {
-                self.open_for_waiting(now, index, rank);
+                self.open_for_waiting(now, index, urgency);
             }
             return false;
         };
@@ -136,6 +139,20 @@
         service.servers.iter().map(candidate).collect()
     }
 
+    /// Whether a server that has not been tried may serve a session's read now.
+    pub(crate) fn has_untried_server(&self, now: Instant, key: SessionKey) -> bool {
+        let Some(Destination::UpToDate(after)) = self.destination(key) else {
+            return false;
+        };
+        let Some(query) = self.sessions.get(key).and_then(|s| s.query.as_ref()) else {
+            return false;
+        };
+        let candidates = self.candidates(now, query.route.service, query);
+        let age = self.clock.moment().since(after.at);
+        let chosen = choose(&candidates, age, now);
+        chosen.is_some_and(|index| !query.tried_servers.contains(&index))
+    }
+
     /// Allows one more connection beyond the share for each server, and chooses again.
     fn overcommit(
         &mut self,
@@ -170,7 +187,7 @@
     /// Opens a connection. Once one is open, further ones are opened one at a time: an opening
     /// takes a slot of the server for as long as a short statement, and after a power loss all
     /// proxies open theirs at once.
-    fn open_for_waiting(&mut self, now: Instant, index: usize, rank: u8) {
+    fn open_for_waiting(&mut self, now: Instant, index: usize, urgency: Urgency) {
         let server = &self.servers[index];
         let waiting = self.services[server.service].waiting.len() + 1;
         let open_count = server.conns.len() - server.opening;
@@ -180,7 +197,7 @@
             1
         };
         if server.opening < limit {
-            self.open(now, index, rank);
+            self.open(now, index, urgency);
         }
     }
 
@@ -190,22 +207,14 @@
             return;
         };
         query.stage = Stage::Waiting;
-        let (due, service, rank) = (query.next_due(), query.route.service, query.route.priority);
+        let (due, service) = (query.next_due(), query.route.service);
         if self.services[service].waiting.len() >= MAX_WAITING_STATEMENTS {
             return self.refuse_unsent(now, key, Reason::QueueFull);
         }
         if query.wait_deadline <= now {
             return self.refuse_unsent(now, key, Reason::NoConnection);
         }
-        // Orders by rank, and by arrival within a rank.
-        let priority = |other: &SessionKey| {
-            let query = self.sessions.get(*other).and_then(|s| s.query.as_ref());
-            query.map_or(0, |query| query.route.priority)
-        };
-        let waiting = &self.services[service].waiting;
-        let position = waiting.iter().rposition(|other| priority(other) <= rank);
-        let position = position.map_or(0, |position| position + 1);
-        self.services[service].waiting.insert(position, key);
+        self.services[service].waiting.push_back(key);
         self.timers.add(due, Timer::Session(key));
     }
 
@@ -216,10 +225,16 @@
         self.refuse(now, key, reason);
     }
 
-    /// Dispatches the statements that wait for a service.
+    /// Dispatches the statements that wait for a service: by rank, within a rank those that can be
+    /// answered within their goal first, and then by arrival.
     pub(crate) fn retry_waiting(&mut self, now: Instant, service: usize) {
         let mut failures = 0;
         let mut waiting = std::mem::take(&mut self.services[service].waiting);
+        let order = |key: &SessionKey| {
+            let query = self.sessions.get(*key).and_then(|s| s.query.as_ref());
+            query.map(|query| (query.urgency().order(now), query.received_at))
+        };
+        waiting.make_contiguous().sort_by_cached_key(order);
         let mut still_waiting = std::collections::VecDeque::new();
         while let Some(key) = waiting.pop_front() {
             let query = self.sessions.get(key).and_then(|s| s.query.as_ref());
--- a/components/proxy/src/failure.rs
+++ b/components/proxy/src/failure.rs
@@ -9,7 +9,7 @@
 use crate::protocol::{Code, Command, Protocol};
 use crate::refuse::Reason;
 use crate::server::{Loan, Purpose};
-use crate::session::{Kind, Query, Stage};
+use crate::session::{Kind, Query, Stage, Urgency};
 use crate::timer::Timer;
 use clock::Clock;
 
@@ -251,7 +251,7 @@
             if !server.idle.is_empty() {
                 self.probe(now, primary);
             } else if server.has_room(now) {
-                self.open(now, primary, 0);
+                self.open(now, primary, Urgency::first(now));
             }
         }
     }
--- a/components/proxy/src/lend.rs
+++ b/components/proxy/src/lend.rs
@@ -3,14 +3,16 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use bytes::BytesMut;
+use bytes::{Buf as _, BytesMut};
 use clock::Clock;
 use tokio::sync::mpsc;
 use wire::{Borrow, Lend};
 
 use crate::event::ConnKey;
 use crate::process::Loop;
-use crate::protocol::Protocol;
+use crate::protocol::{Answer, Code, Protocol};
+use crate::server::Conn;
+use crate::timer::Timer;
 
 /// Maximum number of borrowers that wait for one server.
 const MAX_WAITERS: usize = 400;
@@ -24,7 +26,6 @@
 pub struct Waiter {
     stream: u64,
     loan: u64,
-    rank: u8,
 }
 
 /// A proxy that borrows connections.
@@ -79,20 +80,30 @@
         };
         match message {
             Borrow::Open { version, instance } => {
-                if version == wire::VERSION {
+                if version == wire::LOAN_VERSION {
                     tracing::debug!(instance, "borrower connected");
                 } else {
                     self.metrics.common.refusals.add("version");
                     self.on_borrower_lost(stream);
                 }
             }
-            Borrow::Ask { loan, server, rank } => {
-                self.on_loan_requested(now, stream, loan, &server, rank)
+            Borrow::Ask {
+                loan,
+                server,
+                rank,
+                start_in_ms,
+            } => {
+                let start_by = now + Duration::from_millis(start_in_ms.into());
+                self.on_loan_requested(now, Waiter { stream, loan }, &server, (rank, start_by));
             }
             Borrow::Send { loan, bytes } => {
                 if let Some(key) = self.lent_conn(stream, loan)
                     && let Some(conn) = self.conns.get_mut(key)
                 {
+                    if !std::mem::replace(&mut conn.lent_started, true) {
+                        conn.lent_pending = 0;
+                    }
+                    conn.lent_pending += count_requests::<P>(&bytes, self.settings.max_message);
                     conn.out.extend_from_slice(&bytes);
                     conn.used_at = now;
                     self.dirty_conns.push(key);
@@ -106,7 +117,14 @@
         *self.borrowers.0.get(&stream)?.loans.get(&loan)?
     }
 
-    fn on_loan_requested(&mut self, now: Instant, stream: u64, loan: u64, server: &str, rank: u8) {
+    fn on_loan_requested(
+        &mut self,
+        now: Instant,
+        waiter: Waiter,
+        server: &str,
+        (rank, start_by): (u8, Instant),
+    ) {
+        let Waiter { stream, loan } = waiter;
         let index = self.server_indices.get(server).copied();
         let index = index.filter(|index| {
             let server = &self.servers[*index];
@@ -128,11 +146,12 @@
             return;
         };
         borrower.loans.insert(loan, None);
-        let waiters = &mut self.servers[index].waiters;
-        let position = waiters.iter().rposition(|other| other.rank <= rank);
-        let position = position.map_or(0, |position| position + 1);
-        waiters.insert(position, Waiter { stream, loan, rank });
+        self.servers[index].waiters.push(rank, start_by, waiter);
         self.serve_waiters(now, index);
+        let waits = |borrower: &Borrower| matches!(borrower.loans.get(&loan), Some(None));
+        if self.borrowers.0.get(&stream).is_some_and(waits) && !self.has_slot(now, index) {
+            self.borrowers.send(now, stream, Lend::Queued { loan });
+        }
     }
 
     /// Starts to lend connections of a service because a borrower could get none from its lenders.
@@ -155,16 +174,32 @@
         }
     }
 
+    /// Whether one more statement may be sent to a server on this proxy's own connections. During a
+    /// pause the service is dispatched again at its end.
+    pub(crate) fn has_slot(&mut self, now: Instant, index: usize) -> bool {
+        let server = &self.servers[index];
+        let is_busy = |key: &&ConnKey| self.conns.get(**key).is_some_and(Conn::is_busy);
+        let running = server.conns.iter().filter(is_busy).count();
+        let admits = server.window.admits(now, running);
+        if let Some(until) = server.window.paused_until().filter(|until| *until > now) {
+            self.timers.add(until, Timer::Service(server.service));
+        }
+        admits
+    }
+
     /// Lends idle connections to waiting borrowers, and opens more as far as allowed.
     pub(crate) fn serve_waiters(&mut self, now: Instant, index: usize) {
         while !self.servers[index].waiters.is_empty() {
+            if !self.has_slot(now, index) {
+                return;
+            }
             let is_own =
                 |key: &ConnKey| self.conns.get(*key).is_some_and(|conn| conn.loan.is_none());
             let Some(position) = self.servers[index].idle.iter().rposition(is_own) else {
                 break;
             };
             let key = self.servers[index].idle.remove(position);
-            let Some(waiter) = self.servers[index].waiters.pop_front() else {
+            let Some(waiter) = self.servers[index].waiters.pop(now) else {
                 break;
             };
             let borrower = self.borrowers.0.get_mut(&waiter.stream);
@@ -176,6 +211,7 @@
             *loan = Some(key);
             if let Some(conn) = self.conns.get_mut(key) {
                 conn.lent_to = Some((waiter.stream, waiter.loan));
+                (conn.lent_pending, conn.lent_started) = (1, false);
                 conn.needs_reset = true;
                 conn.used_at = now;
             }
@@ -221,13 +257,43 @@
         let Some((stream, loan)) = conn.lent_to else {
             return false;
         };
-        self.servers[conn.server].on_lent_bytes(now);
-        let bytes = bytes.to_vec().into();
-        self.borrowers
-            .send(now, stream, Lend::Receive { loan, bytes });
+        let index = conn.server;
+        self.servers[index].on_lent_bytes(now);
+        let message = Lend::Receive {
+            loan,
+            bytes: bytes.to_vec().into(),
+        };
+        self.borrowers.send(now, stream, message);
+        self.count_lent_answers(now, key, bytes);
         true
     }
 
+    /// Counts the answers in a server's bytes for a borrower, and learns from them whether the server
+    /// has slots.
+    fn count_lent_answers(&mut self, now: Instant, key: ConnKey, bytes: &[u8]) {
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
+        conn.inbox.extend_from_slice(bytes);
+        let server = &mut self.servers[conn.server];
+        let was_busy = conn.lent_pending > 0;
+        while let Ok(Some((len, answer))) = P::decode_answer(&conn.inbox, self.settings.max_message)
+        {
+            match answer {
+                Answer::Ready { .. } => conn.lent_pending = conn.lent_pending.saturating_sub(1),
+                Answer::Row => server.window.on_served(),
+                Answer::Error {
+                    code: Code::Busy, ..
+                } => server.window.on_rejected(now),
+                Answer::Complete | Answer::Error { .. } => {}
+            }
+            conn.inbox.advance(len);
+        }
+        if was_busy && conn.lent_pending == 0 {
+            self.due_services.push(server.service);
+        }
+    }
+
     fn on_returned(&mut self, now: Instant, stream: u64, loan: u64, clean: bool) {
         let borrower = self.borrowers.0.get_mut(&stream);
         let Some(lent) = borrower.and_then(|borrower| borrower.loans.remove(&loan)) else {
@@ -245,6 +311,8 @@
             return;
         };
         conn.lent_to = None;
+        conn.lent_pending = 0;
+        conn.inbox.clear();
         let index = conn.server;
         self.servers[index].running = self.servers[index].running.saturating_sub(1);
         if clean {
@@ -274,7 +342,7 @@
     /// Denies the requests of all borrowers that wait for a server. `failed` tells them that the
     /// server cannot be used.
     pub(crate) fn deny_waiters(&mut self, now: Instant, index: usize, failed: bool) {
-        for waiter in std::mem::take(&mut self.servers[index].waiters) {
+        for waiter in self.servers[index].waiters.take() {
             if let Some(borrower) = self.borrowers.0.get_mut(&waiter.stream) {
                 borrower.loans.remove(&waiter.loan);
             }
@@ -320,3 +388,13 @@
         }
     }
 }
+
+/// Number of requests in the bytes that a borrower has sent. A borrower sends whole messages only.
+fn count_requests<P: Protocol>(mut bytes: &[u8], max_message: usize) -> usize {
+    let mut count = 0;
+    while let Ok(Some((len, _))) = P::decode_request(bytes, max_message) {
+        bytes = &bytes[len..];
+        count += 1;
+    }
+    count
+}
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -239,6 +239,7 @@
         self.on_timers(now);
         self.process_due(now);
         self.return_idle_loans(now);
+        self.withdraw_requests();
         self.flush(now);
         !self.is_stopped(now)
     }
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -9,6 +9,7 @@
 use crate::freshness::History;
 use crate::lend::Waiter;
 use crate::protocol::Code;
+use admission::{Queue, Window};
 use ahash::HashSet;
 use bytes::BytesMut;
 use clock::Moment;
@@ -36,6 +37,8 @@
 const PROMOTION_COOLDOWN: Duration = Duration::from_secs(10);
 /// Maximum number of connections to one server that are borrowed or requested from lenders.
 const MAX_LOANS: usize = 64;
+/// How long all slots of a server are assumed to be taken once a lender has queued a request.
+const FULL_SLOTS_PERIOD: Duration = Duration::from_millis(40);
 /// How long no connection is opened after the server had none left.
 const FULL_PAUSE: Duration = Duration::from_millis(300);
 
@@ -110,6 +113,11 @@
     pub loan: Option<Loan>,
     /// Stream and number of the loan under which another proxy uses it.
     pub lent_to: Option<(u64, u64)>,
+    /// Messages of the borrower whose answers are pending. A loan begins with one, for the statement
+    /// for which it was granted.
+    pub lent_pending: usize,
+    /// The borrower has sent a message.
+    pub lent_started: bool,
 }
 
 impl Conn {
@@ -132,9 +140,22 @@
             needs_reset: false,
             loan: None,
             lent_to: None,
+            lent_pending: 0,
+            lent_started: false,
         }
     }
 
+    /// Whether something runs on the connection that takes a slot of its server.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        let takes_slot = |purpose: &Purpose| match purpose {
+            Purpose::Startup | Purpose::Begin { .. } | Purpose::Statement { .. } => true,
+            Purpose::Setup | Purpose::Rollback => false,
+        };
+        let is_own = self.loan.is_none();
+        (is_own && self.pending.iter().any(takes_slot)) || self.lent_pending > 0
+    }
+
     /// A connection that a lender is asked for.
     #[must_use]
     pub fn borrowed(server: usize, now: Instant, loan: Loan) -> Self {
@@ -171,12 +192,14 @@
     pub borrowed: usize,
     /// Number of connections that are being opened or requested from lenders.
     pub opening: usize,
-    /// Other proxies that wait for a connection, in order of rank.
-    pub waiters: VecDeque<Waiter>,
+    /// Other proxies that wait for a connection.
+    pub waiters: Queue<Waiter>,
     /// This proxy's share of the server's connections.
     pub share: usize,
-    /// Other proxies of the failure domain hold the server's connections and lend them.
+    /// Other proxies hold the server's connections and lend them.
     pub uses_lenders: bool,
+    /// Limit of the statements that run on this proxy's own connections, lent ones included.
+    pub window: Window,
     /// Number of connections that may currently be opened beyond the share.
     overcommit: usize,
     /// Number of connections that all proxies share.
@@ -190,6 +213,8 @@
     down_until: Option<Instant>,
     /// Until when no connection is opened, as the server had none left.
     full_until: Option<Instant>,
+    /// Until when all slots are assumed to be taken, as the lender has queued a request.
+    full_slots_until: Option<Instant>,
     /// How far the server's log lagged at its last answer.
     lag: Option<Duration>,
     /// When the server last served a statement.
@@ -214,9 +239,10 @@
             idle: Vec::new(),
             borrowed: 0,
             opening: 0,
-            waiters: VecDeque::new(),
+            waiters: Queue::default(),
             share: 1,
             uses_lenders: false,
+            window: Window::new(registered.slots),
             overcommit: 0,
             shared_total: 1,
             running: 0,
@@ -224,6 +250,7 @@
             failure_pause: None,
             down_until: None,
             full_until: None,
+            full_slots_until: None,
             lag: None,
             served_at: None,
             answered_at: None,
@@ -265,6 +292,7 @@
 
     /// Records that a statement was answered after `elapsed`.
     pub fn on_served(&mut self, now: Instant, elapsed: Duration) {
+        self.window.on_served();
         self.served_at = Some(now);
         self.latency =
             self.latency.mul_f64(1.0 - LATENCY_SMOOTHING) + elapsed.mul_f64(LATENCY_SMOOTHING);
@@ -306,6 +334,19 @@
         self.overcommit = 0;
     }
 
+    /// Records that the server rejected a statement, as all its slots were taken.
+    pub fn on_rejected(&mut self, now: Instant) {
+        if !self.uses_lenders {
+            self.window.on_rejected(now);
+        }
+        self.on_full_slots(now);
+    }
+
+    /// Records that the lender has queued a request because all slots are taken.
+    pub fn on_full_slots(&mut self, now: Instant) {
+        self.full_slots_until = Some(now + FULL_SLOTS_PERIOD);
+    }
+
     /// Whether there are too many proxies for each to keep a connection. Each then opens one when
     /// needed and closes it soon after.
     #[must_use]
@@ -356,6 +397,7 @@
             can_open: self.has_room(now),
             running: self.running,
             latency: self.latency.mul_f64(0.5_f64.powf(half_lives)),
+            full: self.full_slots_until.is_some_and(|until| now < until),
             down_until: self.down_until,
             lag: self.lag.filter(|_| recent),
             tried,
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -99,6 +99,33 @@
     }
 }
 
+/// What decides the order of waiting statements.
+#[derive(Clone, Copy, Debug)]
+pub struct Urgency {
+    /// 0 goes first.
+    pub rank: u8,
+    /// When the statement has to start to be answered within its goal.
+    pub start_by: Instant,
+}
+
+impl Urgency {
+    /// The urgency of what goes before all statements.
+    #[must_use]
+    pub fn first(now: Instant) -> Self {
+        Self {
+            rank: 0,
+            start_by: now,
+        }
+    }
+
+    /// Order in a queue at a moment: by rank, and within a rank statements that are in time before
+    /// late ones.
+    #[must_use]
+    pub fn order(&self, now: Instant) -> (u8, bool) {
+        (self.rank, self.start_by < now)
+    }
+}
+
 /// Progress of a query.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
@@ -127,6 +154,8 @@
     pub deadline: Instant,
     /// When it is refused as not run if it still waits.
     pub wait_deadline: Instant,
+    /// When it has to be sent to be answered within its goal.
+    pub start_by: Instant,
     /// When it is sent to another server if it is an unanswered read.
     pub hedge_at: Option<Instant>,
     /// Earliest time of the next attempt.
@@ -141,6 +170,14 @@
 }
 
 impl Query {
+    #[must_use]
+    pub fn urgency(&self) -> Urgency {
+        Urgency {
+            rank: self.route.priority,
+            start_by: self.start_by,
+        }
+    }
+
     /// The content that is forwarded to a server.
     #[must_use]
     pub fn body(&self) -> Body<'_> {
--- a/components/proxy/src/sync.rs
+++ b/components/proxy/src/sync.rs
@@ -7,6 +7,7 @@
 use crate::process::Loop;
 use crate::protocol::Protocol;
 use crate::server::{Server, Service};
+use crate::session::Urgency;
 use clock::Clock;
 
 /// Connections of each server that are reserved for coordinators and for proxies that have just
@@ -181,7 +182,7 @@
             let wanted =
                 server.listed && server.draining_since.is_none() && !server.is_oversubscribed();
             if wanted && server.conns.is_empty() && server.has_room(now) {
-                self.open(now, index, 0);
+                self.open(now, index, Urgency::first(now));
             }
         }
     }
--- a/components/proxy/tests/choose.rs
+++ b/components/proxy/tests/choose.rs
@@ -15,6 +15,7 @@
         can_open: true,
         running: 0,
         latency: Duration::from_millis(20),
+        full: false,
         down_until: None,
         lag: Some(Duration::from_millis(20)),
         tried: false,
@@ -43,6 +44,7 @@
 #[case::failed(|c: &mut Candidate, now| c.down_until = Some(now + SHORT_TIME))]
 #[case::behind(|c: &mut Candidate, _| c.lag = Some(POSITION_AGE + SHORT_TIME))]
 #[case::tried(|c: &mut Candidate, _| c.tried = true)]
+#[case::full(|c: &mut Candidate, _| c.full = true)]
 fn avoids_the_worse_of_two_servers(#[case] change: fn(&mut Candidate, Instant)) {
     assert_eq!(choose_of_two(change), Some(1));
 }
--- a/components/registry/tests/state.rs
+++ b/components/registry/tests/state.rs
@@ -174,7 +174,7 @@
     let mut bytes = Vec::new();
     wire::encode(&wire::Registry::from(&registry), &mut bytes).unwrap();
     let raw: wire::Registry = wire::decode(&bytes).unwrap();
-    assert_eq!(Registry::try_from(raw).unwrap(), registry);
+    assert_eq!(Registry::from(raw), registry);
 }
 
 // Servers of another writer must not make the registry too large for a snapshot, without which no
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -370,7 +370,7 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Borrow {
     Open { version: u32, instance: String },
-    Ask { loan: u64, server: String, rank: u8 },
+    Ask { loan: u64, server: String, rank: u8, start_in_ms: u32 },
     Send { loan: u64, bytes: Bytes },
     Return { loan: u64, clean: bool },
 }
@@ -381,4 +381,5 @@
     Receive { loan: u64, bytes: Bytes },
     Lost { loan: u64 },
     Pulse,
+    Queued { loan: u64 },
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -16,6 +16,10 @@
 /// Version of the message format; a process with another version is rejected.
 pub const VERSION: u32 = 1;
 
+/// Version of the messages between entries that lend connections. An entry opens its own connections
+/// where the others have another version.
+pub const LOAN_VERSION: u32 = 2;
+
 /// Maximum size of an encoded message. Bounds the memory that a faulty or hostile peer can make a
 /// process allocate.
 pub const MAX_BYTES: usize = 8 << 20;
