--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -1,4 +1,4 @@
-//! Servers and services as this proxy sees them.
+//! Servers as this proxy sees them, and its connections to them.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -6,7 +6,6 @@
 
 use crate::choose::Candidate;
 use crate::event::{ConnKey, SessionKey};
-use crate::freshness::History;
 use crate::lend::Waiter;
 use crate::protocol::Code;
 use admission::{Queue, Window};
@@ -29,12 +28,6 @@
 /// Time without a served statement in which the smoothed latency halves, so that a server that was
 /// slow once is tried again.
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(2);
-/// A primary whose smoothed latency exceeds the route's goal by this factor counts as slow.
-const SLOW_GOAL_FACTOR: u32 = 2;
-/// How long a primary must be slow before it is reported. Short peaks of demand are over before.
-const SLOW_PERIOD: Duration = Duration::from_millis(1500);
-/// How long after a promotion a slow primary is not reported.
-const PROMOTION_COOLDOWN: Duration = Duration::from_secs(10);
 /// Maximum number of connections to one server that are borrowed or requested from lenders.
 const MAX_LOANS: usize = 64;
 /// How long all slots of a server are assumed to be taken once a lender has queued a request.
@@ -404,83 +397,3 @@
         }
     }
 }
-
-/// A service.
-#[derive(Debug)]
-pub struct Service {
-    pub name: String,
-    /// Indices of its servers.
-    pub servers: Vec<usize>,
-    /// Index of the server that is believed to lead.
-    pub primary: Option<usize>,
-    /// Log positions of the primary.
-    pub history: History,
-    /// When the last statement for the service was received.
-    pub last_request_at: Option<Instant>,
-    /// When the primary last answered the coordinators.
-    pub primary_reached_at: Option<Moment>,
-    /// Sessions whose statements wait.
-    pub waiting: VecDeque<SessionKey>,
-    /// Since when the primary is unusable.
-    pub unusable_since: Option<Instant>,
-    /// Since when the primary is slow.
-    pub slow_since: Option<Instant>,
-    /// When the last promotion was found to have taken effect.
-    pub confirmed_at: Option<Instant>,
-    /// Token of the last promotion that has taken effect.
-    pub confirmed_token: u64,
-    /// Number of connections that each server accepts from all proxies together.
-    pub connections: u32,
-    /// Whether this proxy is one of the lenders; `None` while no proxies are known.
-    pub lends: Option<bool>,
-    /// Until when this proxy lends in place of the lenders.
-    pub backup_until: Option<Instant>,
-    /// Proxies that lend connections, in the order in which they are asked.
-    pub lenders: Vec<SocketAddr>,
-}
-
-impl Service {
-    /// Records whether the primary is slow, compared to the goal of a statement that it served.
-    pub fn on_primary_latency(&mut self, now: Instant, latency: Duration, goal: Duration) {
-        if latency > goal * SLOW_GOAL_FACTOR {
-            self.slow_since.get_or_insert(now);
-        } else {
-            self.slow_since = None;
-        }
-    }
-
-    /// Whether the primary has been slow long enough to be replaced. A change costs about a second
-    /// without writes and does not help if there are simply too many callers, so it is requested
-    /// only once in a while.
-    #[must_use]
-    pub fn is_primary_slow(&self, now: Instant) -> bool {
-        let slow = self
-            .slow_since
-            .is_some_and(|since| now >= since + SLOW_PERIOD);
-        slow && self
-            .confirmed_at
-            .is_none_or(|at| now >= at + PROMOTION_COOLDOWN)
-    }
-
-    /// A service without servers.
-    #[must_use]
-    pub fn new(name: &str) -> Self {
-        Self {
-            name: name.to_owned(),
-            servers: Vec::new(),
-            primary: None,
-            history: History::default(),
-            last_request_at: None,
-            primary_reached_at: None,
-            waiting: VecDeque::new(),
-            unusable_since: None,
-            slow_since: None,
-            confirmed_at: None,
-            confirmed_token: 0,
-            connections: 0,
-            lends: None,
-            backup_until: None,
-            lenders: Vec::new(),
-        }
-    }
-}
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -13,7 +13,7 @@
 use crate::event::Event;
 use crate::process::Loop;
 use crate::protocol::Protocol;
-use crate::server::Service;
+use crate::service::Service;
 use crate::timer::Timer;
 use clock::{Clock, Moment};
 
--- a/components/proxy/src/sync.rs
+++ b/components/proxy/src/sync.rs
@@ -6,7 +6,8 @@
 use crate::lenders::LENDER_COUNT;
 use crate::process::Loop;
 use crate::protocol::Protocol;
-use crate::server::{Server, Service};
+use crate::server::Server;
+use crate::service::Service;
 use crate::session::Urgency;
 use clock::Clock;
 
