Acknowledge heartbeats of unknown services only while leadership is confirmed

Cause: found on reading the change. A leader that is cut off may lack the plan that names a service, and acknowledged heartbeats of its servers, draining ones included, that it neither registered nor could. Change: such a heartbeat is refused without a confirmed quorum, as every other one is.

--- a/components/coordinator/src/requests.rs
+++ b/components/coordinator/src/requests.rs
@@ -97,6 +97,10 @@
         if !is_registered && !self.is_planned(&server.service) {
             // No route leads to it, and its address may be one of a server that is in use.
             self.metrics.common.refusals.add("unknown_service");
+            // A leader that is cut off may lack the plan that names the service.
+            if !self.node.leader_confirmed(now) {
+                return self.refuse(&path, reply, "no_quorum");
+            }
             return self.accept_heartbeat(&path, reply);
         }
         if let Some(leadership) = &mut self.leadership {
