--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -26,7 +26,10 @@
     sleep(Duration::from_secs_f64(seconds));
 }
 
-/// One write of a requester.
+/// Peers that send a broken message.
+const RUDE_PEERS: usize = 120;
+
+/// One write or read of a requester.
 #[derive(Clone, Debug)]
 struct Write {
     item: String,
@@ -46,6 +49,15 @@
 impl Writers {
     /// Starts `count` requesters at each address, which pause between writes.
     fn start(addresses: &[SocketAddr], count: usize, pause: Duration) -> Self {
+        Self::start_with(addresses, count, pause, ("orders", "WRITE"))
+    }
+
+    fn start_with(
+        addresses: &[SocketAddr],
+        count: usize,
+        pause: Duration,
+        work: (&'static str, &'static str),
+    ) -> Self {
         let mut writers = Self {
             stop: Arc::default(),
             writes: Arc::default(),
@@ -53,17 +65,22 @@
         };
         for (proxy, address) in addresses.iter().enumerate() {
             for number in 0..count {
-                let name = format!("u{proxy}-{number}");
+                let name = format!("{}{proxy}-{number}", work.0);
                 let (stop, writes, address) =
                     (writers.stop.clone(), writers.writes.clone(), *address);
                 writers.threads.push(thread::spawn(move || {
-                    write_until(&stop, &writes, address, &name, pause);
+                    run_until(&stop, &writes, address, &name, pause, work);
                 }));
             }
         }
         writers
     }
 
+    /// Starts `count` requesters at each address that read from a board.
+    fn start_readers(addresses: &[SocketAddr], count: usize, pause: Duration) -> Self {
+        Self::start_with(addresses, count, pause, ("board", "READ"))
+    }
+
     fn end(self) -> Vec<Write> {
         self.stop.store(true, Ordering::SeqCst);
         for thread in self.threads {
@@ -73,25 +90,27 @@
     }
 }
 
-fn write_until(
+fn run_until(
     stop: &AtomicBool,
     writes: &Mutex<Vec<Write>>,
     address: SocketAddr,
     name: &str,
     pause: Duration,
+    (database, keyword): (&str, &str),
 ) {
     let mut session = None;
     let mut number = 0;
     while !stop.load(Ordering::SeqCst) {
         let sent_at = Instant::now();
         if session.is_none() {
-            session = Session::open(address, "orders", name);
+            session = Session::open(address, database, name);
         }
         number += 1;
         let (item, data) = (name.to_owned(), number.to_string());
-        let answer = session
-            .as_mut()
-            .map(|open| open.run(&format!("WRITE {item} {data}")));
+        let answer = session.as_mut().map(|open| match keyword {
+            "READ" => open.run(&format!("READ {item}")),
+            _ => open.run(&format!("WRITE {item} {data}")),
+        });
         let served = answer.as_ref().is_some_and(|answer| answer.is_success());
         if !served {
             session = None;
@@ -284,17 +303,25 @@
         return Verdict::Unusable;
     };
     let addresses = listens(&system);
-    let writers = Writers::start(&addresses, 2, Duration::from_millis(200));
+    let pause = Duration::from_millis(200);
+    let writers = Writers::start(&addresses, 2, pause);
+    let readers = Writers::start_readers(&addresses, 2, pause);
     let began_at = Instant::now();
     secs(4.0);
     let trouble_at = Instant::now();
-    for number in 0..60 {
+    for number in 0..RUDE_PEERS {
         let name = format!("rude-{number}");
-        let Some(mut session) = Session::open(addresses[number % 2], "orders", &name) else {
+        let address = addresses[number % 2];
+        let (database, begin, statement) = if number % 3 == 0 {
+            ("orders", "BEGIN", format!("WRITE {name} 1"))
+        } else {
+            ("board", "BEGIN READ", "READ stock".to_owned())
+        };
+        let Some(mut session) = Session::open(address, database, &name) else {
             continue;
         };
-        session.run("BEGIN");
-        session.run(&format!("WRITE {name} 1"));
+        session.run(begin);
+        session.run(&statement);
         if trouble {
             record(&format!("{name}: sends a broken message"));
             session.send("QUE\u{7f}RY broken");
@@ -303,20 +330,19 @@
             session.run("ROLLBACK");
             session.send("TERMINATE");
         }
-        secs(0.05);
     }
     let over_at = Instant::now();
     secs(30.0);
-    let writes = writers.end();
-    let (before_served, before) = share(&writes, began_at, trouble_at);
+    let requests = [writers.end(), readers.end()].concat();
+    let (before_served, before) = share(&requests, began_at, trouble_at);
     let from = over_at + Duration::from_secs(10);
-    let (after_served, after) = share(&writes, from, from + Duration::from_secs(18));
-    let open = system.group.with(0, |server| server.connections);
+    let (after_served, after) = share(&requests, from, from + Duration::from_secs(18));
+    let open = [0, 1, 2].map(|index| system.group.with(index, |server| server.connections));
     record(&format!(
-        "before the broken messages {before_served} of {before} writes were served"
+        "before the broken messages {before_served} of {before} requests were served"
     ));
     record(&format!(
-        "from 10 s after the last one {after_served} of {after}; {open} connections are open"
+        "from 10 s after the last one {after_served} of {after}; open connections: {open:?}"
     ));
     if before_served == 0 || after == 0 {
         return Verdict::Unusable;
