Wait for silent replicas in a change of primary

The leading coordinator alone had lost the path to a primary and one of its replicas; after 12 s it promoted the other replica, while callers went on writing through the proxies.

Cause: `Gather::choose` took 12 s of silence towards one instance for the loss of the replica, though the primary had not stepped down.

Change: only the pause of a replica, or the step-down of the primary, ends the wait. Silent servers of planned services stay registered.

The test `waits_for_an_unreachable_replica` asserted that the other replica is chosen after 13 s, which is the fault; it now asserts that no time is long enough, and that the answer ends the wait. Two tests that used the same limit to have a replica count as gone now remove it from the registry.

--- a/components/coordinator/src/leadership.rs
+++ b/components/coordinator/src/leadership.rs
@@ -31,7 +31,8 @@
 /// Time after a server's leave request in which its process may still run, unless its connection
 /// shows that it has ended.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(12);
-/// A server that has sent no heartbeat for longer is removed from the registry.
+/// A server of a service without a plan that has sent no heartbeat for longer is removed from the
+/// registry. Those of planned services stay: a silent server may still receive commits.
 pub const REMOVAL_SILENCE: Duration = Duration::from_secs(20);
 
 /// What the leader knows about one server.
@@ -275,18 +276,13 @@
             term,
             last_led_point,
         };
-        let (heartbeats, since) = (&self.heartbeats, self.leading_since);
-        let silence = |id: &str| {
-            let heartbeat_at = heartbeats.get(id).copied().unwrap_or(since);
-            now.saturating_duration_since(heartbeat_at)
-        };
         let machine = self
             .machines
             .entry(service.to_owned())
             .or_insert_with(|| Machine::new(service));
         let old_phase = machine.phase();
         let mut actions = Vec::new();
-        machine.step(now, registry, signals, silence, &mut actions);
+        machine.step(now, registry, signals, &mut actions);
         if machine.phase() != old_phase {
             let primary = registry.primary(service);
             tracing::info!(
--- a/components/coordinator/src/requests.rs
+++ b/components/coordinator/src/requests.rs
@@ -250,7 +250,8 @@
         }
     }
 
-    /// Removes a server that has left or has sent no heartbeat for too long, if there is one.
+    /// Removes a server that has left, or one of a service without a plan that has sent no heartbeat
+    /// for too long, if there is one.
     pub(crate) fn remove_departed(&mut self, now: Instant) -> Result<()> {
         let Some(leadership) = &self.leadership else {
             return Ok(());
@@ -260,7 +261,8 @@
             let is_primary = primary.is_some_and(|primary| primary.id == server.id);
             let silent = leadership.heartbeat_silence(now, &server.id) > REMOVAL_SILENCE;
             let left = leadership.has_left(now, &server.id);
-            (silent && !is_primary) || left
+            let unused = silent && !is_primary && !self.is_planned(&server.service);
+            unused || left
         });
         let Some(server) = departed else {
             return Ok(());
--- a/components/registry/src/failover.rs
+++ b/components/registry/src/failover.rs
@@ -183,14 +183,12 @@
         }
     }
 
-    /// Appends the actions that are due to `actions`. `silence` returns the time since the last
-    /// heartbeat of a server.
+    /// Appends the actions that are due to `actions`.
     pub fn step(
         &mut self,
         now: Instant,
         registry: &Registry,
         signals: Signals,
-        silence: impl Fn(&str) -> Duration,
         actions: &mut Vec<Action>,
     ) {
         if matches!(self.phase, Phase::Steady) && self.is_change_needed(now, registry, signals) {
@@ -214,13 +212,9 @@
             Phase::Recheck(_) => {}
             Phase::Gather(gather) => {
                 gather.send_commands(now, &self.service, registry, actions);
-                if let Some(id) = gather.choose(
-                    now,
-                    &self.service,
-                    registry,
-                    signals.last_led_point,
-                    silence,
-                ) {
+                if let Some(id) =
+                    gather.choose(now, &self.service, registry, signals.last_led_point)
+                {
                     let previous_token = registry
                         .chosen_primary(&self.service)
                         .map_or(0, |chosen| chosen.token);
--- a/components/registry/src/failover/gather.rs
+++ b/components/registry/src/failover/gather.rs
@@ -12,8 +12,6 @@
 
 /// How long to wait for the old primary to step down; it answers at once if it is reachable.
 const STEP_DOWN_TIMEOUT: Duration = Duration::from_millis(400);
-/// Silence after which a replica counts as permanently lost; network partitions are shorter.
-const LOST_REPLICA_SILENCE: Duration = Duration::from_secs(12);
 /// How long to wait for an up-to-date replica before the stepped-down primary is promoted again.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -132,7 +130,6 @@
         service: &str,
         registry: &Registry,
         last_led_point: Option<Point>,
-        silence: impl Fn(&str) -> Duration,
     ) -> Option<String> {
         let primary = registry.primary(service);
         if primary.is_some()
@@ -145,10 +142,10 @@
         let replicas = registry
             .servers_of(service)
             .filter(|server| !is_primary(server));
-        let mut missing = replicas.clone().filter(|server| {
-            !self.paused.contains_key(&server.id) && silence(&server.id) < LOST_REPLICA_SILENCE
-        });
-        let is_complete = missing.next().is_none();
+        // Silence towards this instance is no proof that a replica receives nothing any more.
+        let is_complete = replicas
+            .clone()
+            .all(|server| self.paused.contains_key(&server.id));
         let answered = replicas.filter_map(|server| {
             let status = self.paused.get(&server.id)?;
             Some((status.received, server))
@@ -159,7 +156,7 @@
             (point.term, point.lsn, !server.draining, id)
         });
         if is_complete {
-            // The old primary may be the only server left with a commit that a lost replica had
+            // The old primary may be the only server left with a commit that a removed replica had
             // received.
             let old = primary.zip(self.stepped_down);
             let ahead = |(_, status): &(&Server, Status)| {
--- a/components/registry/tests/failover.rs
+++ b/components/registry/tests/failover.rs
@@ -3,8 +3,6 @@
 
 mod world;
 
-use std::time::Duration;
-
 use registry::Order;
 use registry::failover::{Action, Command, Promotion, Status, Verdict};
 use rstest::rstest;
@@ -38,17 +36,32 @@
     assert_eq!(world.last_choice(), Some(expected));
 }
 
-// The unreachable replica may be the only one with the last acknowledged commit.
+// The unreachable replica may be the only one with the last acknowledged commit, and may go on
+// acknowledging commits of a primary that is unreachable too. Silence, however long, is no proof that
+// it has ended: a leader that was cut off from both promoted the third server after 12 s.
 #[test]
 fn waits_for_an_unreachable_replica() {
     let mut world = World::new();
     world.fail_primary();
     world.report_paused("r1", 4, (3, 90));
-    world.advance(6000);
+    world.advance(6_000);
+    world.advance(600_000);
     assert_eq!(world.last_choice(), None);
-    world.silence = Duration::from_secs(13);
-    world.advance(100);
-    assert_eq!(world.last_choice(), Some("r1"));
+    world.report_paused("r2", 4, (3, 91));
+    assert_eq!(world.last_choice(), Some("r2"));
+}
+
+// Guards against a change that waits for ever for a replica once the primary is back.
+#[test]
+fn ends_the_wait_for_a_replica_once_the_primary_has_stepped_down() {
+    let mut world = World::new();
+    world.fail_primary();
+    world.report_paused("r1", 4, (3, 90));
+    world.advance(60_000);
+    assert_eq!(world.last_choice(), None);
+    step_down(&mut world, (3, 95));
+    world.advance(1_100);
+    assert_eq!(world.last_choice(), Some("p"));
 }
 
 // Promoting a replica that is about to leave would require another switch at once.
@@ -363,8 +376,8 @@
 }
 
 // A coordinator that became leader during a partition had no proof of the old primary. When that
-// primary stepped down later, its log was ignored, and after the wait for a silent replica a server
-// without its acknowledged commits was chosen.
+// primary stepped down later, its log was ignored, and once the replica that it waited for was gone a
+// server without its acknowledged commits was chosen.
 #[test]
 fn promotes_a_stepped_down_primary_that_alone_has_a_commit() {
     let mut world = World::new();
@@ -372,7 +385,7 @@
     world.fail_primary();
     step_down(&mut world, (3, 95));
     world.report_paused("r1", 4, (3, 90));
-    world.silence = Duration::from_secs(13);
+    world.remove("r2");
     world.advance(2_000);
     assert_eq!(world.last_choice(), Some("p"));
 }
@@ -385,7 +398,7 @@
     world.fail_primary();
     step_down(&mut world, (3, 90));
     world.report_paused("r1", 4, (3, 90));
-    world.silence = Duration::from_secs(13);
+    world.remove("r2");
     world.advance(2_000);
     assert_eq!(world.last_choice(), Some("r1"));
 }
--- a/components/registry/tests/world/mod.rs
+++ b/components/registry/tests/world/mod.rs
@@ -16,8 +16,6 @@
     pub machine: Machine,
     pub now: Instant,
     pub verdict: Verdict,
-    /// Time since the last heartbeat of every server.
-    pub silence: Duration,
     /// End of the primary's log when it last proved to be the primary.
     pub last_led_point: Option<Point>,
     pub actions: Vec<Action>,
@@ -30,7 +28,6 @@
             machine: Machine::new(SERVICE),
             now: Instant::now(),
             verdict: Verdict::Serving,
-            silence: Duration::ZERO,
             last_led_point: Some(Point {
                 term: Term(3),
                 lsn: Lsn(90),
@@ -64,20 +61,21 @@
         self.registry.apply(self.registry.revision() + 1, order);
     }
 
+    /// Has a server leave: its process has ended.
+    pub fn remove(&mut self, id: &str) {
+        let life = self.registry.server(id).unwrap().life;
+        let id = id.to_owned();
+        self.apply(&Order::Remove { id, life });
+    }
+
     pub fn step(&mut self) {
         let signals = Signals {
             verdict: self.verdict,
             term: Some(3),
             last_led_point: self.last_led_point,
         };
-        let silence = self.silence;
-        self.machine.step(
-            self.now,
-            &self.registry,
-            signals,
-            |_| silence,
-            &mut self.actions,
-        );
+        self.machine
+            .step(self.now, &self.registry, signals, &mut self.actions);
     }
 
     pub fn advance(&mut self, ms: u64) {
