Account for departed servers in a change of primary

A replica that alone acknowledged left as planned just after the primary had crashed, and the replica that had received nothing was promoted 0.4 s after the change began. The primary came back with its log six seconds later.

Cause: the decision looked at the replicas registered at that moment. A replica's log goes with its life, however that ends: it leaves, restarts, or another server takes its address. Each of these made the remaining replicas look complete. The position of a replica that had been paused was dropped with its registration, a pause counted for a life that had ended, and a server that was chosen but not yet promoted was left out of the next choice. A restarted replica answered under its old registration until its first heartbeat.

Change: the log records departures and a floor for each service (`registry::history`). While a departed life is not covered, replicas alone prove nothing, and the old primary's word is needed. The leader covers a departure with the log of a primary that has proved to lead after it, and each choice with the log of the chosen server. Positions belong to lives, and count once a heartbeat has shown which life the connection leads to. Leave requests go through the log, so that a new leader knows of them. A line every 2 s names the servers that a change waits for.

--- a/components/coordinator/src/event.rs
+++ b/components/coordinator/src/event.rs
@@ -1,5 +1,7 @@
 //! Events that the coordinator's loop handles.
 
+use std::time::Instant;
+
 use cluster::peers;
 use cluster::writes::Completion;
 use disk::{Native, Wal};
@@ -15,8 +17,15 @@
 /// Outcome of asking a server whether it is the primary.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ping {
-    /// It is the primary; the sample holds the end of its log.
-    Primary(Sample),
+    /// A connection was opened, before the server was asked.
+    Connected,
+    /// It is the primary.
+    Primary {
+        /// End of its log.
+        sample: Sample,
+        /// When the request was sent.
+        asked_at: Instant,
+    },
     /// It answered but is not the primary.
     NotPrimary,
     /// No answer in time, or the connection failed.
--- a/components/coordinator/src/leadership.rs
+++ b/components/coordinator/src/leadership.rs
@@ -6,7 +6,7 @@
 
 use cluster::convert::Report;
 use registry::failover::{Action, Command, Signals, Verdict};
-use registry::{Machine, Registry, Sample};
+use registry::{History, Machine, Registry, Sample};
 use types::Name;
 
 use crate::event::Ping;
@@ -34,6 +34,8 @@
 /// A server of a service without a plan that has sent no heartbeat for longer is removed from the
 /// registry. Those of planned services stay: a silent server may still receive commits.
 pub const REMOVAL_SILENCE: Duration = Duration::from_secs(20);
+/// Interval of the log lines about a change of primary that waits for servers.
+const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
 /// What the leader knows about one server.
 #[derive(Debug)]
@@ -45,8 +47,13 @@
     answered_at: Instant,
     /// The last answer said that the server is not the primary.
     not_primary: bool,
-    /// End of its log at its last answer as primary.
+    /// End of its log at its last answer as primary, in this life or an earlier one.
     last_sample: Option<Sample>,
+    /// When that answer was asked for.
+    sample_asked_at: Option<Instant>,
+    /// The open connection leads to the watched life: a heartbeat of it has arrived since the
+    /// connection was opened. A server that has restarted may not be registered again yet.
+    is_identified: bool,
     /// Since when at least half of the entries report that they can't use it.
     reported_since: Option<Instant>,
     /// End of the time after its promotion in which reports of entries don't count.
@@ -72,6 +79,10 @@
     machines: BTreeMap<String, Machine>,
     /// Start of each change of primary in progress, by service.
     change_starts: BTreeMap<String, Instant>,
+    /// Log index of the latest departure from each service, and when this instance knew of it.
+    departures: BTreeMap<String, (u64, Instant)>,
+    /// Next log line about each change of primary that waits.
+    wait_log_at: BTreeMap<String, Instant>,
     step_at: Instant,
 }
 
@@ -85,6 +96,8 @@
             watches: BTreeMap::new(),
             machines: BTreeMap::new(),
             change_starts: BTreeMap::new(),
+            departures: BTreeMap::new(),
+            wait_log_at: BTreeMap::new(),
             step_at: now,
         }
     }
@@ -100,7 +113,11 @@
         self.step_at = now;
     }
 
-    pub fn on_heartbeat(&mut self, now: Instant, id: &str) {
+    /// Handles a heartbeat, or another message, of the life of a server that started at `born`.
+    pub fn on_heartbeat(&mut self, now: Instant, id: &str, born: u64) {
+        if let Some(watch) = self.watches.get_mut(id) {
+            watch.is_identified |= watch.born == born;
+        }
         match self.heartbeats.get_mut(id) {
             Some(at) => *at = now,
             None => {
@@ -110,8 +127,8 @@
     }
 
     /// Handles a leave request of a server.
-    pub fn on_leave(&mut self, now: Instant, id: &str) {
-        self.on_heartbeat(now, id);
+    pub fn on_leave(&mut self, now: Instant, id: &str, born: u64) {
+        self.on_heartbeat(now, id, born);
         if let Some(watch) = self.watches.get_mut(id) {
             watch.left_at.get_or_insert(now);
         }
@@ -170,17 +187,19 @@
             return;
         };
         match ping {
-            Ping::Primary(sample) => {
+            Ping::Connected => watch.is_identified = false,
+            Ping::Primary { sample, asked_at } => {
                 watch.answered_at = now;
                 (watch.not_primary, watch.closed) = (false, false);
                 watch.last_sample = Some(sample);
+                watch.sample_asked_at = Some(asked_at);
             }
             Ping::NotPrimary => {
                 watch.answered_at = now;
                 (watch.not_primary, watch.closed) = (true, false);
             }
-            Ping::Closed => watch.closed = true,
-            Ping::Unanswered => {}
+            Ping::Closed => (watch.closed, watch.is_identified) = (true, false),
+            Ping::Unanswered => watch.is_identified = false,
         }
     }
 
@@ -231,13 +250,10 @@
         registry: &Registry,
         start_agent: impl Fn(&registry::Server) -> Agent,
     ) {
-        let is_current = |id: &String, watch: &mut Watch| {
-            let server = registry.server(id);
-            server.is_some_and(|server| server.life.born == watch.born)
-        };
-        self.watches.retain(is_current);
+        self.watches.retain(|id, _| registry.server(id).is_some());
         for server in registry.servers() {
-            if self.watches.contains_key(&server.id) {
+            let known = self.watches.get(&server.id);
+            if known.is_some_and(|watch| watch.born == server.life.born) {
                 continue;
             }
             let watch = Watch {
@@ -245,10 +261,12 @@
                 agent: start_agent(server),
                 answered_at: now,
                 not_primary: false,
-                last_sample: None,
+                last_sample: known.and_then(|watch| watch.last_sample),
+                sample_asked_at: known.and_then(|watch| watch.sample_asked_at),
+                is_identified: false,
                 reported_since: None,
                 grace_until: None,
-                left_at: None,
+                left_at: registry.is_leaving(&server.id).then_some(now),
                 closed: false,
             };
             self.watches.insert(server.id.clone(), watch);
@@ -275,14 +293,17 @@
             verdict,
             term,
             last_led_point,
+            led_after_departures: self.led_after_departures(now, service, registry),
         };
+        let watches = &self.watches;
+        let is_identified = |id: &str| watches.get(id).is_some_and(|watch| watch.is_identified);
         let machine = self
             .machines
             .entry(service.to_owned())
             .or_insert_with(|| Machine::new(service));
         let old_phase = machine.phase();
         let mut actions = Vec::new();
-        machine.step(now, registry, signals, &mut actions);
+        machine.step(now, registry, signals, is_identified, &mut actions);
         if machine.phase() != old_phase {
             let primary = registry.primary(service);
             tracing::info!(
@@ -296,7 +317,19 @@
             );
         }
         if machine.is_active() {
-            self.change_starts.entry(service.to_owned()).or_insert(now);
+            let started_at = *self.change_starts.entry(service.to_owned()).or_insert(now);
+            let log_at = self.wait_log_at.entry(service.to_owned());
+            let log_at = log_at.or_insert(started_at + WAIT_LOG_INTERVAL);
+            if *log_at <= now {
+                *log_at = now + WAIT_LOG_INTERVAL;
+                let missing = machine.missing(registry, is_identified);
+                tracing::warn!(
+                    service,
+                    ?missing,
+                    ms = now.saturating_duration_since(started_at).as_millis(),
+                    "change of primary waits for the old primary or the missing servers"
+                );
+            }
         }
         out.extend(
             actions
@@ -305,6 +338,29 @@
         );
     }
 
+    /// Whether the primary of a service has proved to lead, in answer to a question that was asked
+    /// after this instance knew of every departure from the service.
+    fn led_after_departures(&mut self, now: Instant, service: &str, registry: &Registry) -> bool {
+        let departed = registry.history(service).and_then(History::last_departure);
+        let Some(index) = departed else {
+            return true;
+        };
+        let known = self.departures.get(service);
+        let known_at = match known.filter(|(known, _)| *known == index) {
+            Some((_, at)) => *at,
+            None => {
+                self.departures.insert(service.to_owned(), (index, now));
+                now
+            }
+        };
+        let watch = registry
+            .primary(service)
+            .and_then(|server| self.watches.get(&server.id));
+        watch
+            .and_then(|watch| watch.sample_asked_at)
+            .is_some_and(|asked_at| asked_at > known_at)
+    }
+
     /// Handles the end of a change of primary and returns its duration. Earlier answers and reports
     /// about the new primary no longer count.
     pub fn on_confirmed(&mut self, now: Instant, service: &str, id: &str) -> Option<Duration> {
@@ -314,6 +370,7 @@
             watch.reported_since = None;
             watch.grace_until = Some(now + PROMOTION_GRACE);
         }
+        self.wait_log_at.remove(service);
         let started_at = self.change_starts.remove(service)?;
         Some(now.saturating_duration_since(started_at))
     }
--- a/components/coordinator/src/log.rs
+++ b/components/coordinator/src/log.rs
@@ -143,8 +143,8 @@
 
     fn restore(&mut self) -> Result<()> {
         let snapshot = self.node.snapshot();
-        self.registry =
-            decode_registry(&snapshot.data).context("decode the registry in the snapshot")?;
+        self.registry = registry::convert::decode_snapshot(&snapshot.data)
+            .context("decode the registry in the snapshot")?;
         self.applied_index = snapshot.position.index;
         self.snapshot_index = self.applied_index;
         self.plan = read_plan::<A>(&self.registry);
@@ -294,12 +294,3 @@
         }
     }
 }
-
-/// Decodes the registry of a snapshot; an empty one if there are no bytes.
-pub fn decode_registry(bytes: &[u8]) -> Result<Registry> {
-    if bytes.is_empty() {
-        return Ok(Registry::default());
-    }
-    let raw: wire::Registry = wire::decode(bytes)?;
-    Ok(Registry::from(raw))
-}
--- a/components/coordinator/src/process.rs
+++ b/components/coordinator/src/process.rs
@@ -12,7 +12,7 @@
 use disk::{Native, Wal};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use registry::failover::Action;
+use registry::failover::{Action, Cover};
 use registry::{Order, Plan, Registry};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -204,7 +204,7 @@
     ) -> Result<Self> {
         let now = now();
         let identity = Identity::new(settings.instance.clone(), opened.disk);
-        let registry = log::decode_registry(&opened.saved.snapshot.data)
+        let registry = registry::convert::decode_snapshot(&opened.saved.snapshot.data)
             .context("decode the registry in the snapshot")?;
         let applied_index = opened.saved.snapshot.position.index;
         let consensus_settings = consensus::Settings {
@@ -404,17 +404,34 @@
                     servers::promote::<C>(&self.events, platform, holder, &service, &id, token);
                     continue;
                 }
-                Action::Choose { id } => Order::Lead { service, id },
+                Action::Choose { id, cover } => {
+                    let cover = cover.map(|cover| cover_order(&service, cover));
+                    if let Some(cover) = cover
+                        && !self.propose_failover_order(now, &cover)?
+                    {
+                        continue;
+                    }
+                    Order::Lead { service, id }
+                }
+                Action::Cover(cover) => cover_order(&service, cover),
                 Action::Confirm { token } => Order::Confirm { service, token },
             };
-            if let Err((refusal, _)) = self.propose(now, &order, Waiter::None)? {
-                tracing::warn!(%refusal, ?order, "failover order not proposed; the failover machine tries again");
-                self.metrics.common.retries.add("proposal");
-            }
+            self.propose_failover_order(now, &order)?;
         }
         Ok(())
     }
 
+    /// Proposes an order of a failover machine, which tries again if it isn't committed. Returns
+    /// whether it was proposed.
+    fn propose_failover_order(&mut self, now: Instant, order: &Order) -> Result<bool> {
+        let Err((refusal, _)) = self.propose(now, order, Waiter::None)? else {
+            return Ok(true);
+        };
+        tracing::warn!(%refusal, ?order, "failover order not proposed; the failover machine tries again");
+        self.metrics.common.retries.add("proposal");
+        Ok(false)
+    }
+
     fn reload(&mut self, now: Instant) {
         match settings::load::<settings::Coordinator>(&self.settings_path) {
             Ok(settings) => {
@@ -429,6 +446,14 @@
     }
 }
 
+fn cover_order(service: &str, cover: Cover) -> Order {
+    Order::Cover {
+        service: service.to_owned(),
+        until: cover.until,
+        point: cover.point,
+    }
+}
+
 /// Reads the monotonic clock, which tests can pause.
 fn now() -> Instant {
     tokio::time::Instant::now().into_std()
--- a/components/coordinator/src/requests.rs
+++ b/components/coordinator/src/requests.rs
@@ -104,7 +104,7 @@
             return self.accept_heartbeat(&path, reply);
         }
         if let Some(leadership) = &mut self.leadership {
-            leadership.on_heartbeat(now, &server.id);
+            leadership.on_heartbeat(now, &server.id, server.life.born);
         }
         if self.registry.would_change(&server) {
             let waiter = Waiter::Heartbeat { path, reply };
@@ -146,12 +146,11 @@
                 draining = server.draining,
                 "server sent a leave request"
             );
-            leadership.on_leave(now, id);
-            if !server.draining {
-                let life = life.unwrap_or(server.life);
-                let server = server.leaving(life);
+            leadership.on_leave(now, id, server.life.born);
+            if !self.registry.is_leaving(id) {
+                let (id, life) = (id.to_owned(), life.unwrap_or(server.life));
                 let waiter = Waiter::Acknowledgement { path, reply };
-                return self.propose_or_refuse(now, &Order::Register(server), waiter);
+                return self.propose_or_refuse(now, &Order::Leave { id, life }, waiter);
             }
         }
         if !self.node.leader_confirmed(now) {
--- a/components/coordinator/src/servers.rs
+++ b/components/coordinator/src/servers.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anyhow::Result;
+use anyhow::{Context as _, Result};
 use clock::{Boot, Clock as _};
 use registry::failover::{Command, Promotion, Status};
 use registry::{Sample, Server};
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use types::Point;
 
 use crate::event::{Event, Ping};
@@ -168,8 +168,8 @@
             () = sleep(PING_INTERVAL) => Next::Ping,
         };
         let event = match next {
-            Next::Command(command) => run_command(&mut idle, &server, command).await,
-            Next::Ping => ping_server(&mut idle, &server).await,
+            Next::Command(command) => run_command(&events, &mut idle, &server, command).await,
+            Next::Ping => ping_server(&events, &mut idle, &server).await,
             Next::Closed(result) => {
                 idle = None;
                 connection_end(&server, result)
@@ -183,20 +183,31 @@
 
 /// Takes the open connection or opens one. The owner drops it, and thereby closes it, if it is
 /// cancelled or fails.
-async fn take_connection<C: Connection>(idle: &mut Option<C>, server: &Server) -> Result<C> {
-    match idle.take() {
-        Some(conn) => Ok(conn),
-        None => C::connect(server).await,
+async fn take_connection<C: Connection>(
+    events: &mpsc::Sender<Event>,
+    idle: &mut Option<C>,
+    server: &Server,
+) -> Result<C> {
+    if let Some(conn) = idle.take() {
+        return Ok(conn);
     }
+    let conn = C::connect(server).await?;
+    let opened = Event::Ping {
+        id: server.id.clone(),
+        ping: Ping::Connected,
+    };
+    events.send(opened).await.context("report a connection")?;
+    Ok(conn)
 }
 
 async fn run_command<C: Connection>(
+    events: &mpsc::Sender<Event>,
     idle: &mut Option<C>,
     server: &Server,
     command: Command,
 ) -> Event {
     let attempt = timeout(COMMAND_TIMEOUT, async {
-        let mut conn = take_connection(idle, server).await?;
+        let mut conn = take_connection(events, idle, server).await?;
         let status = conn.command(command).await?;
         anyhow::Ok((conn, status))
     });
@@ -228,17 +239,25 @@
     error.is_some_and(|error| error.kind() == std::io::ErrorKind::UnexpectedEof)
 }
 
-async fn ping_server<C: Connection>(idle: &mut Option<C>, server: &Server) -> Event {
+async fn ping_server<C: Connection>(
+    events: &mpsc::Sender<Event>,
+    idle: &mut Option<C>,
+    server: &Server,
+) -> Event {
     let attempt = timeout(PING_TIMEOUT, async {
-        let mut conn = take_connection(idle, server).await?;
-        let at = Boot.moment();
+        let mut conn = take_connection(events, idle, server).await?;
+        let (at, asked_at) = (Boot.moment(), Instant::now().into_std());
         let position = conn.primary_position().await?;
-        anyhow::Ok((conn, position.map(|point| Sample { point, at })))
+        let primary = position.map(|point| Ping::Primary {
+            sample: Sample { point, at },
+            asked_at,
+        });
+        anyhow::Ok((conn, primary))
     });
     let ping = match attempt.await {
-        Ok(Ok((conn, sample))) => {
+        Ok(Ok((conn, primary))) => {
             *idle = Some(conn);
-            sample.map_or(Ping::NotPrimary, Ping::Primary)
+            primary.unwrap_or(Ping::NotPrimary)
         }
         Ok(Err(error)) if is_closed(&error) => Ping::Closed,
         Ok(Err(_)) | Err(_) => Ping::Unanswered,
--- a/components/registry/src/convert.rs
+++ b/components/registry/src/convert.rs
@@ -1,7 +1,9 @@
 //! Conversions from and to the wire types.
 
 use anyhow::{Error, Result};
+use types::{Lsn, Point, Term};
 
+use crate::history::{Departure, History};
 use crate::server::{Life, Server};
 use crate::state::{Order, Primary, Registry};
 
@@ -42,10 +44,37 @@
                 service: service.clone(),
                 token: *token,
             },
+            Order::Cover {
+                service,
+                until,
+                point,
+            } => Self::Cover {
+                service: service.clone(),
+                until: *until,
+                point: encode_point(*point),
+            },
+            Order::Leave { id, life } => Self::Leave {
+                id: id.clone(),
+                born: life.born,
+            },
         }
     }
 }
 
+fn encode_point(point: Point) -> wire::Point {
+    wire::Point {
+        term: point.term.0,
+        lsn: point.lsn.0,
+    }
+}
+
+fn decode_point(raw: &wire::Point) -> Point {
+    Point {
+        term: Term(raw.term),
+        lsn: Lsn(raw.lsn),
+    }
+}
+
 impl TryFrom<wire::Order> for Order {
     type Error = Error;
 
@@ -62,6 +91,19 @@
             },
             wire::Order::Lead { service, id } => Self::Lead { service, id },
             wire::Order::Confirm { service, token } => Self::Confirm { service, token },
+            wire::Order::Cover {
+                service,
+                until,
+                point,
+            } => Self::Cover {
+                service,
+                until,
+                point: decode_point(&point),
+            },
+            wire::Order::Leave { id, born } => Self::Leave {
+                id,
+                life: Life { born, sequence: 0 },
+            },
         })
     }
 }
@@ -73,12 +115,26 @@
             born: life.born,
             sequence: life.sequence,
         };
+        let departure = |(departure, index): (&Departure, &u64)| wire::Departure {
+            id: departure.id.clone(),
+            born: departure.born,
+            index: *index,
+        };
         let leader = |(service, chosen): (&String, &Primary)| wire::Leader {
             service: service.clone(),
             id: chosen.id.clone(),
             token: chosen.token,
             confirmed: chosen.confirmed,
         };
+        let history = |(service, history): (&String, &History)| wire::History {
+            service: service.clone(),
+            floor: encode_point(history.floor),
+            departures: history.departures.iter().map(departure).collect(),
+        };
+        let leaving = |(id, born): (&String, &u64)| wire::Leaving {
+            id: id.clone(),
+            born: *born,
+        };
         Self {
             revision: registry.revision,
             version: registry.plan_version,
@@ -86,6 +142,8 @@
             servers: registry.servers.values().map(Into::into).collect(),
             ended: registry.ended_lives.iter().map(ended).collect(),
             leaders: registry.chosen_primaries.iter().map(leader).collect(),
+            histories: registry.histories.iter().map(history).collect(),
+            leaving: registry.leaving.iter().map(leaving).collect(),
         }
     }
 }
@@ -126,6 +184,41 @@
             };
             registry.chosen_primaries.insert(raw.service, chosen);
         }
+        for raw in raw.histories {
+            let history = History {
+                floor: decode_point(&raw.floor),
+                departures: raw.departures.into_iter().map(decode_departure).collect(),
+            };
+            registry.histories.insert(raw.service, history);
+        }
+        let leaving = raw.leaving.into_iter().map(|raw| (raw.id, raw.born));
+        registry.leaving.extend(leaving);
         registry
     }
 }
+
+fn decode_departure(raw: wire::Departure) -> (Departure, u64) {
+    let departure = Departure {
+        id: raw.id,
+        born: raw.born,
+    };
+    (departure, raw.index)
+}
+
+/// Decodes the registry of a snapshot; an empty one if there are no bytes.
+///
+/// # Errors
+/// Fails if the bytes are no registry of this build or of an earlier one.
+pub fn decode_snapshot(bytes: &[u8]) -> Result<Registry> {
+    if bytes.is_empty() {
+        return Ok(Registry::default());
+    }
+    let raw: Result<wire::Registry> = wire::decode(bytes);
+    let raw = raw.or_else(|error| {
+        // A snapshot of an earlier build ends before the histories and the leave requests. The
+        // encoding of an empty list is a zero byte.
+        let extended = [bytes, &[0, 0]].concat();
+        wire::decode(&extended).map_err(|_| error)
+    })?;
+    Ok(Registry::from(raw))
+}
--- a/components/registry/src/failover.rs
+++ b/components/registry/src/failover.rs
@@ -12,9 +12,10 @@
 use types::Point;
 use types::target::Role;
 
+use crate::history::History;
 use crate::server::Life;
 use crate::state::Registry;
-use gather::Gather;
+use gather::{Choice, Gather};
 
 /// Delay before an unanswered command is sent again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(600);
@@ -62,13 +63,28 @@
     Unknown,
 }
 
+/// Bound of the acknowledged commits of a service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Cover {
+    /// Log index up to which departures of servers are covered.
+    pub until: u64,
+    /// Every commit acknowledged so far is at this point or before it.
+    pub point: Point,
+}
+
 /// What the caller of the state machine has to do.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
     /// Send a command to a server and pass its answer to [`Machine::on_answer`].
     Command { id: String, command: Command },
     /// Propose this server as the next primary.
-    Choose { id: String },
+    Choose {
+        id: String,
+        /// Has to precede the choice in the log; `None` if the server leads already.
+        cover: Option<Cover>,
+    },
+    /// Propose to record the end of the acknowledged commits.
+    Cover(Cover),
     /// Ask the platform to promote a server.
     Promote {
         id: String,
@@ -100,6 +116,8 @@
     pub term: Option<u64>,
     /// End of the primary's log when it last proved to be the primary.
     pub last_led_point: Option<Point>,
+    /// It was asked for this proof after every departure that the registry holds.
+    pub led_after_departures: bool,
 }
 
 #[derive(Debug)]
@@ -153,6 +171,8 @@
     service: String,
     phase: Phase,
     no_primary_since: Option<Instant>,
+    /// When the last cover was proposed.
+    cover_proposed_at: Option<Instant>,
 }
 
 impl Machine {
@@ -162,6 +182,7 @@
             service: service.to_owned(),
             phase: Phase::Steady,
             no_primary_since: None,
+            cover_proposed_at: None,
         }
     }
 
@@ -183,14 +204,31 @@
         }
     }
 
-    /// Appends the actions that are due to `actions`.
+    /// Ids of the servers that keep a change of primary waiting: their answer, or that of the old
+    /// primary, is needed to know which commits were acknowledged.
+    #[must_use]
+    pub fn missing(
+        &self,
+        registry: &Registry,
+        is_identified: impl Fn(&str) -> bool,
+    ) -> Vec<String> {
+        match &self.phase {
+            Phase::Gather(gather) => gather.missing(&self.service, registry, is_identified),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Appends the actions that are due to `actions`. `is_identified` tells whether the connection to
+    /// a server is known to lead to its registered life.
     pub fn step(
         &mut self,
         now: Instant,
         registry: &Registry,
         signals: Signals,
+        is_identified: impl Fn(&str) -> bool,
         actions: &mut Vec<Action>,
     ) {
+        self.cover_departures(now, registry, signals, actions);
         if matches!(self.phase, Phase::Steady) && self.is_change_needed(now, registry, signals) {
             self.begin_change(now, registry, signals, actions);
         }
@@ -200,7 +238,7 @@
             // leader, so that delayed promotions of an earlier leader are refused.
             Phase::Recheck(recheck) if recheck.is_primary => {
                 let (id, previous_token) = (recheck.id.clone(), recheck.token);
-                actions.push(Action::Choose { id });
+                actions.push(Action::Choose { id, cover: None });
                 self.phase = Phase::Choose {
                     previous_token,
                     deadline: now + CHOICE_TIMEOUT,
@@ -212,13 +250,13 @@
             Phase::Recheck(_) => {}
             Phase::Gather(gather) => {
                 gather.send_commands(now, &self.service, registry, actions);
-                if let Some(id) =
-                    gather.choose(now, &self.service, registry, signals.last_led_point)
-                {
+                let choice = gather.choose(now, &self.service, registry, signals, is_identified);
+                if let Some(Choice { id, cover }) = choice {
                     let previous_token = registry
                         .chosen_primary(&self.service)
                         .map_or(0, |chosen| chosen.token);
-                    actions.push(Action::Choose { id });
+                    let cover = Some(cover);
+                    actions.push(Action::Choose { id, cover });
                     self.phase = Phase::Choose {
                         previous_token,
                         deadline: now + CHOICE_TIMEOUT,
@@ -249,6 +287,33 @@
         }
     }
 
+    /// Proposes the end of the log of a primary that leads as a bound of the acknowledged commits, if
+    /// servers have departed since the last one. The remaining replicas can then be relied on again.
+    fn cover_departures(
+        &mut self,
+        now: Instant,
+        registry: &Registry,
+        signals: Signals,
+        actions: &mut Vec<Action>,
+    ) {
+        let departed = registry
+            .history(&self.service)
+            .and_then(History::last_departure);
+        let (Some(until), Some(point)) = (departed, signals.last_led_point) else {
+            return;
+        };
+        let is_confirmed = registry
+            .chosen_primary(&self.service)
+            .is_none_or(|chosen| chosen.confirmed);
+        let is_pending = self
+            .cover_proposed_at
+            .is_some_and(|at| now < at + RETRY_INTERVAL);
+        if is_confirmed && signals.led_after_departures && !is_pending {
+            self.cover_proposed_at = Some(now);
+            actions.push(Action::Cover(Cover { until, point }));
+        }
+    }
+
     fn begin_change(
         &mut self,
         now: Instant,
--- /dev/null
+++ b/components/registry/src/history.rs
@@ -0,0 +1,82 @@
+//! What is known of the acknowledged commits of a service, kept in the replicated state.
+//!
+//! A server acknowledges a commit once one replica has received it. A replica whose life ends takes
+//! its log along, so that the remaining ones may lack commits. Until a point is known that covers them,
+//! the departure keeps a change of primary from relying on the remaining replicas alone.
+
+use std::collections::BTreeMap;
+
+use types::Point;
+
+/// Limit of the departures that are listed one by one; the oldest ones are merged.
+const MAX_DEPARTURES: usize = 64;
+
+/// The end of one life of a server: the process has ended, and its log is gone.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Departure {
+    /// Empty for departures that were merged, which is no valid id of a server.
+    pub id: String,
+    /// Start of the life, as [`crate::Life::born`].
+    pub born: u64,
+}
+
+/// Acknowledged commits of a service.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct History {
+    /// Every commit that was acknowledged before this was recorded is at this point or before it.
+    pub(crate) floor: Point,
+    /// Lives that have ended since, with the log index of the order that ended each.
+    pub(crate) departures: BTreeMap<Departure, u64>,
+}
+
+impl History {
+    /// A server that lacks this point lacks acknowledged commits.
+    #[must_use]
+    pub fn floor(&self) -> Point {
+        self.floor
+    }
+
+    /// Lives that have ended since the floor was recorded.
+    pub fn departures(&self) -> impl Iterator<Item = &Departure> {
+        self.departures.keys()
+    }
+
+    /// Log index of the latest departure since the floor was recorded.
+    #[must_use]
+    pub fn last_departure(&self) -> Option<u64> {
+        self.departures.values().copied().max()
+    }
+
+    pub(crate) fn record_departure(&mut self, departure: Departure, index: u64) {
+        self.departures.insert(departure, index);
+        while self.departures.len() > MAX_DEPARTURES {
+            let named = self.departures.iter().filter(|(key, _)| !key.id.is_empty());
+            let Some((oldest, index)) = named.min_by_key(|(_, index)| **index) else {
+                return;
+            };
+            let (oldest, index) = (oldest.clone(), *index);
+            self.departures.remove(&oldest);
+            let merged = Departure {
+                id: String::new(),
+                born: 0,
+            };
+            self.departures.insert(merged, index);
+        }
+    }
+
+    /// Records that every commit acknowledged so far is at `point` or before it, and that the lives
+    /// whose departures have an index up to `until` acknowledge nothing beyond it.
+    pub(crate) fn cover(&mut self, until: u64, point: Point) {
+        self.departures.retain(|_, index| *index > until);
+        if !is_at_or_past(self.floor, point) {
+            self.floor = point;
+        }
+    }
+}
+
+/// Whether a log that ends at `end` has everything up to `point`. Valid between logs of one service
+/// that hold the commits acknowledged in earlier terms: then the later term has the longer log.
+#[must_use]
+pub fn is_at_or_past(end: Point, point: Point) -> bool {
+    (end.term, end.lsn) >= (point.term, point.lsn)
+}
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -4,12 +4,14 @@
 pub mod convert;
 mod delta;
 pub mod failover;
+pub mod history;
 pub mod plan;
 pub mod sample;
 pub mod server;
 pub mod state;
 
 pub use failover::Machine;
+pub use history::History;
 pub use plan::Plan;
 pub use sample::Sample;
 pub use server::{Life, Server};
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use types::Point;
 use types::target::Role;
 
+use crate::history::{Departure, History};
 use crate::server::{Life, Server};
 
 /// Limit of the remembered ended lives; the oldest are dropped first.
@@ -39,6 +41,19 @@
         /// Fencing token of the promotion.
         token: u64,
     },
+    /// Records that every commit acknowledged so far is at `point` or before it.
+    Cover {
+        service: String,
+        /// Log index up to which departures of servers are covered as well.
+        until: u64,
+        point: Point,
+    },
+    /// Records the leave request of a server, whose process ends soon.
+    Leave {
+        id: String,
+        /// The life that ends.
+        life: Life,
+    },
 }
 
 /// Result of applying an order.
@@ -76,6 +91,11 @@
     /// Latest ended life by server id.
     pub(crate) ended_lives: BTreeMap<String, Life>,
     pub(crate) chosen_primaries: BTreeMap<String, Primary>,
+    /// Acknowledged commits by service.
+    pub(crate) histories: BTreeMap<String, History>,
+    /// Starts of the lives that have sent a leave request, by server id. Invariant: holds registered
+    /// lives only.
+    pub(crate) leaving: BTreeMap<String, u64>,
 }
 
 impl Registry {
@@ -108,6 +128,8 @@
             servers_bytes: self.servers_bytes,
             ended_lives: self.ended_lives.clone(),
             chosen_primaries: self.chosen_primaries.clone(),
+            histories: self.histories.clone(),
+            leaving: self.leaving.clone(),
         }
     }
 
@@ -129,6 +151,18 @@
         self.servers.get(id)
     }
 
+    /// What is known of the acknowledged commits of a service; `None` if nothing was recorded yet.
+    #[must_use]
+    pub fn history(&self, service: &str) -> Option<&History> {
+        self.histories.get(service)
+    }
+
+    /// Whether the registered life of a server has sent a leave request.
+    #[must_use]
+    pub fn is_leaving(&self, id: &str) -> bool {
+        self.leaving.contains_key(id)
+    }
+
     /// The server that was last chosen as primary of a service.
     #[must_use]
     pub fn chosen_primary(&self, service: &str) -> Option<&Primary> {
@@ -216,6 +250,16 @@
                 }
                 _ => Outcome::Superseded,
             },
+            Order::Cover {
+                service,
+                until,
+                point,
+            } => {
+                let history = self.histories.entry(service.clone()).or_default();
+                history.cover(*until, *point);
+                Outcome::Applied
+            }
+            Order::Leave { id, life } => self.leave(id, *life),
         }
     }
 
@@ -234,10 +278,44 @@
         for (id, life) in replaced {
             self.end_life(&id, life);
         }
+        let ended = self
+            .servers
+            .get(&server.id)
+            .filter(|known| known.life.born != server.life.born || known.service != server.service);
+        if let Some(ended) = ended.cloned() {
+            self.record_departure(&ended);
+            self.leaving.remove(&ended.id);
+        }
         self.insert(server.clone());
         Outcome::Applied
     }
 
+    fn leave(&mut self, id: &str, life: Life) -> Outcome {
+        let known = self.servers.get(id);
+        let Some(server) = known.filter(|server| server.life.born == life.born) else {
+            return Outcome::Superseded;
+        };
+        let server = server.leaving(life);
+        self.insert(server);
+        self.leaving.insert(id.to_owned(), life.born);
+        Outcome::Applied
+    }
+
+    /// Records that a registered life has ended. The log of the primary is no receipt for commits,
+    /// as a replica has acknowledged each of them.
+    fn record_departure(&mut self, ended: &Server) {
+        let primary = self.primary(&ended.service);
+        if primary.is_some_and(|primary| primary.id == ended.id) {
+            return;
+        }
+        let departure = Departure {
+            id: ended.id.clone(),
+            born: ended.life.born,
+        };
+        let history = self.histories.entry(ended.service.clone()).or_default();
+        history.record_departure(departure, self.revision);
+    }
+
     pub(crate) fn insert(&mut self, server: Server) {
         self.servers_bytes += size(&server);
         if let Some(replaced) = self.servers.insert(server.id.clone(), server) {
@@ -257,6 +335,10 @@
     }
 
     fn end_life(&mut self, id: &str, life: Life) {
+        if let Some(ended) = self.servers.get(id).cloned() {
+            self.record_departure(&ended);
+        }
+        self.leaving.remove(id);
         if let Some(server) = self.servers.remove(id) {
             self.servers_bytes -= size(&server);
         }
--- a/components/registry/tests/state.rs
+++ b/components/registry/tests/state.rs
@@ -1,9 +1,11 @@
 //! Guards against older plans, heartbeats or choices overwriting newer ones in the replicated
 //! state.
 
+use registry::convert::decode_snapshot;
 use registry::{Life, Order, Outcome, Registry, Server};
 use rstest::rstest;
 use types::target::Role;
+use types::{Lsn, Point, Term};
 
 fn server(id: &str, port: u16, born: u64, sequence: u64) -> Server {
     let raw = wire::Server {
@@ -171,10 +173,95 @@
         id: "s2".to_owned(),
     };
     apply(&mut registry, &choice);
+    register(&mut registry, &server("s3", 3, 5, 1));
+    register(&mut registry, &server("s3", 3, 7, 1));
+    let cover = Order::Cover {
+        service: "orders".to_owned(),
+        until: registry.revision() - 1,
+        point: Point {
+            term: Term(3),
+            lsn: Lsn(90),
+        },
+    };
+    apply(&mut registry, &cover);
+    let leave = Order::Leave {
+        id: "s3".to_owned(),
+        life: registry.server("s3").unwrap().life,
+    };
+    apply(&mut registry, &leave);
+    assert!(registry.is_leaving("s3"));
+    let history = registry.history("orders").unwrap();
+    assert_eq!(history.departures().count(), 1);
     let mut bytes = Vec::new();
     wire::encode(&wire::Registry::from(&registry), &mut bytes).unwrap();
-    let raw: wire::Registry = wire::decode(&bytes).unwrap();
-    assert_eq!(Registry::from(raw), registry);
+    assert_eq!(decode_snapshot(&bytes).unwrap(), registry);
+}
+
+// A coordinator that is updated has a snapshot without the lists that this build added; refusing it
+// would end the process at each start.
+#[test]
+fn decodes_a_snapshot_of_an_earlier_build() {
+    let mut registry = Registry::default();
+    register(&mut registry, &server("s1", 1, 5, 3));
+    let mut bytes = Vec::new();
+    wire::encode(&wire::Registry::from(&registry), &mut bytes).unwrap();
+    bytes.truncate(bytes.len() - 2);
+    assert_eq!(decode_snapshot(&bytes).unwrap(), registry);
+}
+
+// A departure is an end of a replica's life, whichever way it ends; the primary's log is no receipt.
+#[rstest]
+#[case::removed(|registry: &mut Registry| {
+    let life = registry.server("s2").unwrap().life;
+    let id = "s2".to_owned();
+    apply(registry, &Order::Remove { id, life });
+}, 1)]
+#[case::restarted(|registry: &mut Registry| {
+    register(registry, &server("s2", 2, 6, 1));
+}, 1)]
+#[case::address_reused(|registry: &mut Registry| {
+    register(registry, &server("s9", 2, 6, 1));
+}, 1)]
+#[case::changed_only(|registry: &mut Registry| {
+    register(registry, &server("s2", 4, 5, 2));
+}, 0)]
+#[case::primary_restarted(|registry: &mut Registry| {
+    register(registry, &server("s1", 1, 6, 1));
+}, 0)]
+fn records_departures(#[case] change: fn(&mut Registry), #[case] expected: usize) {
+    let mut registry = Registry::default();
+    let mut primary = server("s1", 1, 5, 1);
+    primary.role = Role::Primary;
+    register(&mut registry, &primary);
+    register(&mut registry, &server("s2", 2, 5, 1));
+    change(&mut registry);
+    let history = registry.history("orders");
+    assert_eq!(
+        history.map_or(0, |history| history.departures().count()),
+        expected
+    );
+}
+
+// Merging departures must keep a change of primary from relying on the remaining replicas until all
+// of them are covered.
+#[test]
+fn bounds_the_departures_that_it_lists() {
+    let mut registry = Registry::default();
+    for born in 1..=500 {
+        register(&mut registry, &server("s2", 2, born, 1));
+    }
+    let history = registry.history("orders").unwrap();
+    assert!(history.departures().count() <= 65);
+    let until = history.last_departure().unwrap();
+    let cover = |until| Order::Cover {
+        service: "orders".to_owned(),
+        until,
+        point: Point::default(),
+    };
+    apply(&mut registry, &cover(until - 1));
+    assert_eq!(registry.history("orders").unwrap().departures().count(), 1);
+    apply(&mut registry, &cover(until));
+    assert_eq!(registry.history("orders").unwrap().departures().count(), 0);
 }
 
 // Servers of another writer must not make the registry too large for a snapshot, without which no
--- a/components/registry/tests/world/mod.rs
+++ b/components/registry/tests/world/mod.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use registry::failover::{Action, Command, Signals, Status, Verdict};
+use registry::failover::{Action, Command, Cover, Signals, Status, Verdict};
 use registry::{Machine, Order, Registry, Server};
 use types::target::Role;
 use types::{Lsn, Point, Term};
@@ -16,8 +16,12 @@
     pub machine: Machine,
     pub now: Instant,
     pub verdict: Verdict,
+    /// Servers whose connection is not known to lead to their registered life.
+    pub unidentified: Vec<String>,
     /// End of the primary's log when it last proved to be the primary.
     pub last_led_point: Option<Point>,
+    /// It proved so after every departure.
+    pub led_after_departures: bool,
     pub actions: Vec<Action>,
 }
 
@@ -28,10 +32,12 @@
             machine: Machine::new(SERVICE),
             now: Instant::now(),
             verdict: Verdict::Serving,
+            unidentified: Vec::new(),
             last_led_point: Some(Point {
                 term: Term(3),
                 lsn: Lsn(90),
             }),
+            led_after_departures: false,
             actions: Vec::new(),
         };
         world.register("p", Role::Primary, false);
@@ -41,6 +47,11 @@
     }
 
     pub fn register(&mut self, id: &str, role: Role, draining: bool) {
+        self.register_life(id, role, draining, 1);
+    }
+
+    /// Registers a life of a server, by its start.
+    pub fn register_life(&mut self, id: &str, role: Role, draining: bool, born: u64) {
         let port = 1000 + u16::from(*id.as_bytes().last().unwrap());
         let sequence = self.registry.revision() + 1;
         let raw = wire::Server {
@@ -51,7 +62,7 @@
             slots: 5,
             draining,
             role: role.into(),
-            born: 1,
+            born,
             sequence,
         };
         self.apply(&Order::Register(Server::try_from(raw).unwrap()));
@@ -73,9 +84,16 @@
             verdict: self.verdict,
             term: Some(3),
             last_led_point: self.last_led_point,
+            led_after_departures: self.led_after_departures,
         };
-        self.machine
-            .step(self.now, &self.registry, signals, &mut self.actions);
+        let unidentified = &self.unidentified;
+        self.machine.step(
+            self.now,
+            &self.registry,
+            signals,
+            |id| !unidentified.iter().any(|other| other == id),
+            &mut self.actions,
+        );
     }
 
     pub fn advance(&mut self, ms: u64) {
@@ -102,7 +120,14 @@
 
     pub fn last_choice(&self) -> Option<&str> {
         self.actions.iter().rev().find_map(|action| match action {
-            Action::Choose { id } => Some(id.as_str()),
+            Action::Choose { id, .. } => Some(id.as_str()),
+            _ => None,
+        })
+    }
+
+    fn last_cover(&self) -> Option<Cover> {
+        self.actions.iter().rev().find_map(|action| match action {
+            Action::Choose { cover, .. } => *cover,
             _ => None,
         })
     }
@@ -114,10 +139,18 @@
         })
     }
 
-    /// Commits the last proposed choice of a primary.
+    /// Commits the last proposed choice of a primary, with the bound that precedes it.
     pub fn commit_choice(&mut self) {
         let id = self.last_choice().unwrap().to_owned();
         let service = SERVICE.to_owned();
+        if let Some(Cover { until, point }) = self.last_cover() {
+            let service = service.clone();
+            self.apply(&Order::Cover {
+                service,
+                until,
+                point,
+            });
+        }
         self.apply(&Order::Lead { service, id });
         self.step();
     }
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -233,6 +233,8 @@
     Remove { id: String, born: u64, sequence: u64 },
     Lead { service: String, id: String },
     Confirm { service: String, token: u64 },
+    Cover { service: String, until: u64, point: Point },
+    Leave { id: String, born: u64 },
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Freshness {
@@ -272,6 +274,18 @@
     pub sequence: u64,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Departure {
+    pub id: String,
+    pub born: u64,
+    pub index: u64,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct History {
+    pub service: String,
+    pub floor: Point,
+    pub departures: Vec<Departure>,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Leader {
     pub service: String,
     pub id: String,
@@ -279,6 +293,11 @@
     pub confirmed: bool,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Leaving {
+    pub id: String,
+    pub born: u64,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Registry {
     pub revision: u64,
     pub version: u64,
@@ -286,6 +305,8 @@
     pub servers: Vec<Server>,
     pub ended: Vec<Ended>,
     pub leaders: Vec<Leader>,
+    pub histories: Vec<History>,
+    pub leaving: Vec<Leaving>,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Publish {
