Prove each choice of a primary on drawn histories

Drawn histories of joins, leaves, silence, restarts, deafness, pauses and elections found them; the check compares promoted logs with acknowledged commits and knows nothing of the decision.

Causes found, each by a history that shrank to a few events: - A replica that restarts between the choice and the promotion, or a server that registers then, receives commits that the chosen server lacks. A choice names the lives that its proof rests on; the promotion is called only while they go on. Servers join after the change. - The status of a restarted replica counted for its earlier life once that had departed. - Replicas that had not heard of the latest term were paused for that same term, which stops nothing. The log records the latest term that a server may lead. - A late promotion ended the pauses of a running change; a term that is newer than those reported before starts the change over. - A stepped-down primary that had restarted was chosen for the log of its earlier life. Changes that never ended: after a leader change in the first change of a service, when an unconfirmed choice had answered, and when a bound included commits of the primary that no replica had received.

--- a/components/coordinator/src/leadership.rs
+++ b/components/coordinator/src/leadership.rs
@@ -216,6 +216,13 @@
         }
     }
 
+    /// Whether servers may join a service at present.
+    #[must_use]
+    pub fn admits_servers(&self, service: &str) -> bool {
+        let machine = self.machines.get(service);
+        machine.is_none_or(Machine::admits_servers)
+    }
+
     /// The failover machine of a service.
     pub fn machine(&mut self, service: &str) -> Option<&mut Machine> {
         self.machines.get_mut(service)
--- a/components/coordinator/src/process.rs
+++ b/components/coordinator/src/process.rs
@@ -342,7 +342,7 @@
             } => {
                 if let Some(leadership) = &mut self.leadership {
                     if let Some(machine) = leadership.machine(&service) {
-                        machine.on_promotion(now, token, answer);
+                        machine.on_promotion(now, token, answer, &self.registry);
                     }
                     leadership.schedule_step(now);
                 }
@@ -451,6 +451,7 @@
         service: service.to_owned(),
         until: cover.until,
         point: cover.point,
+        term: cover.term,
     }
 }
 
--- a/components/coordinator/src/requests.rs
+++ b/components/coordinator/src/requests.rs
@@ -107,6 +107,9 @@
             leadership.on_heartbeat(now, &server.id, server.life.born);
         }
         if self.registry.would_change(&server) {
+            if !self.admits(&server) {
+                return self.refuse(&path, reply, "change_of_primary");
+            }
             let waiter = Waiter::Heartbeat { path, reply };
             return self.propose_or_refuse(now, &Order::Register(server), waiter);
         }
@@ -116,6 +119,14 @@
         self.accept_heartbeat(&path, reply)
     }
 
+    /// Whether a server is registered, or may be at present.
+    fn admits(&self, server: &Server) -> bool {
+        let registered = self.registry.server(&server.id);
+        let is_known = registered.is_some_and(|known| known.life.born == server.life.born);
+        let leadership = self.leadership.as_ref();
+        is_known || leadership.is_none_or(|leadership| leadership.admits_servers(&server.service))
+    }
+
     fn accept_heartbeat(&self, path: &str, reply: HttpReply) -> Result<()> {
         let address = self.settings.http.to_string();
         reply.send(A::reply(path, Reply::HeartbeatAccepted(&address)));
--- a/components/registry/src/convert.rs
+++ b/components/registry/src/convert.rs
@@ -48,10 +48,12 @@
                 service,
                 until,
                 point,
+                term,
             } => Self::Cover {
                 service: service.clone(),
                 until: *until,
                 point: encode_point(*point),
+                term: *term,
             },
             Order::Leave { id, life } => Self::Leave {
                 id: id.clone(),
@@ -95,10 +97,12 @@
                 service,
                 until,
                 point,
+                term,
             } => Self::Cover {
                 service,
                 until,
                 point: decode_point(&point),
+                term,
             },
             wire::Order::Leave { id, born } => Self::Leave {
                 id,
@@ -129,6 +133,8 @@
         let history = |(service, history): (&String, &History)| wire::History {
             service: service.clone(),
             floor: encode_point(history.floor),
+            term: history.term,
+            leaders: history.leaders.iter().cloned().collect(),
             departures: history.departures.iter().map(departure).collect(),
         };
         let leaving = |(id, born): (&String, &u64)| wire::Leaving {
@@ -187,6 +193,8 @@
         for raw in raw.histories {
             let history = History {
                 floor: decode_point(&raw.floor),
+                term: raw.term,
+                leaders: raw.leaders.into_iter().collect(),
                 departures: raw.departures.into_iter().map(decode_departure).collect(),
             };
             registry.histories.insert(raw.service, history);
--- a/components/registry/src/failover.rs
+++ b/components/registry/src/failover.rs
@@ -7,14 +7,15 @@
 
 mod gather;
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use types::Point;
 use types::target::Role;
 
-use crate::history::History;
+use crate::history::{Departure, History};
 use crate::server::Life;
-use crate::state::Registry;
+use crate::state::{Primary, Registry};
 use gather::{Choice, Gather};
 
 /// Delay before an unanswered command is sent again.
@@ -70,6 +71,8 @@
     pub until: u64,
     /// Every commit acknowledged so far is at this point or before it.
     pub point: Point,
+    /// No server has led or will lead a later term before the next choice.
+    pub term: u64,
 }
 
 /// What the caller of the state machine has to do.
@@ -132,6 +135,10 @@
     Choose {
         /// Token of the previous choice; that of the new one is higher.
         previous_token: u64,
+        /// The lives on whose logs and pauses the choice rests; none if the server leads already.
+        proof: BTreeSet<Departure>,
+        /// The registered lives at that time.
+        lives: BTreeSet<Departure>,
         deadline: Instant,
     },
     Promote(Promote),
@@ -151,6 +158,8 @@
 struct Promote {
     id: String,
     token: u64,
+    /// The lives on whose logs and pauses the choice rests; none if the server led already.
+    proof: BTreeSet<Departure>,
     deadline: Instant,
     /// When the platform is called next; `None` during a call and once a call was accepted.
     call_at: Option<Instant>,
@@ -204,6 +213,14 @@
         }
     }
 
+    /// Whether a server may join the service, or one that has restarted join it again. Not between a
+    /// choice and its promotion: it would receive commits of the old primary, which the chosen server
+    /// lacks.
+    #[must_use]
+    pub fn admits_servers(&self) -> bool {
+        !matches!(self.phase, Phase::Choose { .. } | Phase::Promote(_))
+    }
+
     /// Ids of the servers that keep a change of primary waiting: their answer, or that of the old
     /// primary, is needed to know which commits were acknowledged.
     #[must_use]
@@ -228,7 +245,10 @@
         is_identified: impl Fn(&str) -> bool,
         actions: &mut Vec<Action>,
     ) {
-        self.cover_departures(now, registry, signals, actions);
+        if matches!(self.phase, Phase::Steady | Phase::Gather(_)) {
+            self.cover_departures(now, registry, signals, actions);
+        }
+        let least_term = least_term(&self.service, registry);
         if matches!(self.phase, Phase::Steady) && self.is_change_needed(now, registry, signals) {
             self.begin_change(now, registry, signals, actions);
         }
@@ -241,17 +261,20 @@
                 actions.push(Action::Choose { id, cover: None });
                 self.phase = Phase::Choose {
                     previous_token,
+                    proof: BTreeSet::new(),
+                    lives: lives_of(&self.service, registry),
                     deadline: now + CHOICE_TIMEOUT,
                 };
             }
             Phase::Recheck(recheck) if recheck.deadline <= now => {
-                self.phase = Phase::Gather(Gather::new(now, signals.term));
+                self.phase = Phase::Gather(Gather::new(now, signals.term, least_term));
             }
             Phase::Recheck(_) => {}
             Phase::Gather(gather) => {
+                gather.identify(&self.service, registry, &is_identified);
                 gather.send_commands(now, &self.service, registry, actions);
                 let choice = gather.choose(now, &self.service, registry, signals, is_identified);
-                if let Some(Choice { id, cover }) = choice {
+                if let Some(Choice { id, lives, cover }) = choice {
                     let previous_token = registry
                         .chosen_primary(&self.service)
                         .map_or(0, |chosen| chosen.token);
@@ -259,21 +282,33 @@
                     actions.push(Action::Choose { id, cover });
                     self.phase = Phase::Choose {
                         previous_token,
+                        proof: lives,
+                        lives: lives_of(&self.service, registry),
                         deadline: now + CHOICE_TIMEOUT,
                     };
                 }
             }
             Phase::Choose {
                 previous_token,
+                proof,
+                lives,
                 deadline,
             } => match registry.chosen_primary(&self.service) {
+                // A registration was under way when the choice was made.
+                Some(chosen)
+                    if chosen.token > *previous_token
+                        && !lives_of(&self.service, registry).is_subset(lives) =>
+                {
+                    self.phase = Phase::Gather(Gather::new(now, signals.term, least_term));
+                }
                 Some(chosen) if chosen.token > *previous_token => {
-                    let promote = Promote::new(now, chosen.id.clone(), chosen.token, registry);
+                    let proof = std::mem::take(proof);
+                    let promote = Promote::new(now, chosen, proof, registry);
                     self.phase = Phase::Promote(promote);
-                    self.step_promotion(now, registry, actions);
+                    self.step_promotion(now, registry, signals.term, is_identified, actions);
                 }
                 _ if *deadline <= now => {
-                    self.phase = Phase::Gather(Gather::new(now, signals.term));
+                    self.phase = Phase::Gather(Gather::new(now, signals.term, least_term));
                 }
                 _ => {}
             },
@@ -281,9 +316,11 @@
                 self.phase = Phase::Steady;
             }
             Phase::Promote(promote) if promote.deadline <= now => {
-                self.phase = Phase::Gather(Gather::new(now, None));
+                self.phase = Phase::Gather(Gather::new(now, None, least_term));
+            }
+            Phase::Promote(_) => {
+                self.step_promotion(now, registry, signals.term, is_identified, actions);
             }
-            Phase::Promote(_) => self.step_promotion(now, registry, actions),
         }
     }
 
@@ -310,7 +347,8 @@
             .is_some_and(|at| now < at + RETRY_INTERVAL);
         if is_confirmed && signals.led_after_departures && !is_pending {
             self.cover_proposed_at = Some(now);
-            actions.push(Action::Cover(Cover { until, point }));
+            let term = point.term.0;
+            actions.push(Action::Cover(Cover { until, point, term }));
         }
     }
 
@@ -324,9 +362,10 @@
         let unconfirmed = registry
             .chosen_primary(&self.service)
             .filter(|chosen| !chosen.confirmed);
+        let least_term = least_term(&self.service, registry);
         let candidate = unconfirmed.and_then(|chosen| Some((chosen, registry.server(&chosen.id)?)));
         let Some((chosen, _)) = candidate.filter(|(_, server)| !server.draining) else {
-            self.phase = Phase::Gather(Gather::new(now, signals.term));
+            self.phase = Phase::Gather(Gather::new(now, signals.term, least_term));
             return;
         };
         let (id, command) = (chosen.id.clone(), Command::Verify);
@@ -359,16 +398,29 @@
         unconfirmed || replace_draining || failed
     }
 
-    fn step_promotion(&mut self, now: Instant, registry: &Registry, actions: &mut Vec<Action>) {
+    fn step_promotion(
+        &mut self,
+        now: Instant,
+        registry: &Registry,
+        term: Option<u64>,
+        is_identified: impl Fn(&str) -> bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let least_term = least_term(&self.service, registry);
         let Phase::Promote(promote) = &mut self.phase else {
             return;
         };
+        let is_due = promote.call_at.is_some_and(|at| at <= now);
+        if is_due && !promote.is_proved(registry, is_identified) {
+            self.phase = Phase::Gather(Gather::new(now, term, least_term));
+            return;
+        }
         if promote.accepted && !promote.is_primary && promote.has_reported_primary(registry) {
             promote.is_primary = true;
             let token = promote.token;
             actions.push(Action::Confirm { token });
         }
-        if promote.call_at.is_some_and(|at| at <= now) {
+        if is_due {
             promote.call_at = None;
             let (id, token) = (promote.id.clone(), promote.token);
             actions.push(Action::Promote { id, token });
@@ -411,7 +463,14 @@
     }
 
     /// Handles the platform's reply to a promotion request.
-    pub fn on_promotion(&mut self, now: Instant, token: u64, reply: Promotion) {
+    pub fn on_promotion(
+        &mut self,
+        now: Instant,
+        token: u64,
+        reply: Promotion,
+        registry: &Registry,
+    ) {
+        let least_term = least_term(&self.service, registry);
         let Phase::Promote(promote) = &mut self.phase else {
             return;
         };
@@ -421,17 +480,38 @@
         match reply {
             Promotion::Accepted => promote.accepted = true,
             Promotion::Unknown => promote.call_at = Some(now + RETRY_INTERVAL),
-            Promotion::Refused => self.phase = Phase::Gather(Gather::new(now, None)),
+            Promotion::Refused => self.phase = Phase::Gather(Gather::new(now, None, least_term)),
         }
     }
 }
 
+/// Least term for which a pause keeps a replica from receiving from any primary so far.
+fn least_term(service: &str, registry: &Registry) -> u64 {
+    let history = registry.history(service);
+    history.map_or(0, |history| history.term() + 1)
+}
+
+fn lives_of(service: &str, registry: &Registry) -> BTreeSet<Departure> {
+    let servers = registry.servers_of(service);
+    servers.map(Departure::of).collect()
+}
+
 impl Promote {
     fn is_confirmed(&self, service: &str, registry: &Registry) -> bool {
         let chosen = registry.chosen_primary(service);
         chosen.is_some_and(|chosen| chosen.token == self.token && chosen.confirmed)
     }
 
+    /// Whether the lives on which the choice rests go on. One that has restarted lacks its log and
+    /// receives commits of the old primary.
+    fn is_proved(&self, registry: &Registry, is_identified: impl Fn(&str) -> bool) -> bool {
+        let goes_on = |life: &Departure| {
+            let server = registry.server(&life.id);
+            server.is_some_and(|server| server.life.born == life.born) && is_identified(&life.id)
+        };
+        self.proof.iter().all(goes_on)
+    }
+
     /// Whether a heartbeat since the promotion reports the role of a primary. An overloaded server
     /// may leave commands unanswered for a while, but its heartbeats report the new role at once.
     fn has_reported_primary(&self, registry: &Registry) -> bool {
@@ -443,13 +523,20 @@
             && server.life.sequence > life.sequence
     }
 
-    fn new(now: Instant, id: String, token: u64, registry: &Registry) -> Self {
+    fn new(
+        now: Instant,
+        chosen: &Primary,
+        proof: BTreeSet<Departure>,
+        registry: &Registry,
+    ) -> Self {
+        let (id, token) = (chosen.id.clone(), chosen.token);
         let server = registry.server(&id);
         let replica = server.filter(|server| server.role == Role::Replica);
         Self {
             life_as_replica: replica.map(|server| server.life),
             id,
             token,
+            proof,
             deadline: now + PROMOTION_TIMEOUT,
             call_at: Some(now),
             accepted: false,
--- a/components/registry/src/failover/gather.rs
+++ b/components/registry/src/failover/gather.rs
@@ -19,18 +19,32 @@
 #[derive(Debug)]
 pub(super) struct Gather {
     started_at: Instant,
-    /// Lowest term of the new primary; `None` until a server has reported its term.
+    /// Term for which replicas are paused; `None` until a server has reported its term.
     term: Option<u64>,
+    /// Least term for which a pause keeps a replica from receiving.
+    least_term: u64,
     /// Statuses of the paused lives. Those of lives that have ended since are kept: what they had
     /// received may be acknowledged.
     paused: BTreeMap<Departure, Status>,
+    /// Those of them whose statuses are known to be theirs: their connections were identified
+    /// afterwards, while they were registered.
+    identified: BTreeSet<Departure>,
     /// The latest command to each server.
     asked: BTreeMap<String, Asked>,
     /// Servers other than the registry's primary that report being primary: the promotion of an
     /// earlier choice was not carried out.
     other_primaries: BTreeSet<String>,
-    /// Status of the registry's primary once it has reported to be a replica.
-    stepped_down: Option<Status>,
+    /// The registry's primary, once it has reported to be a replica.
+    stepped_down: Option<SteppedDown>,
+    /// Highest term that a server has reported.
+    seen_term: u64,
+}
+
+#[derive(Debug)]
+struct SteppedDown {
+    life: Departure,
+    /// End of its log.
+    end: Point,
 }
 
 #[derive(Debug)]
@@ -51,25 +65,23 @@
 #[derive(Debug)]
 pub(super) struct Choice {
     pub id: String,
+    /// The lives on whose logs and pauses the proof rests.
+    pub lives: BTreeSet<Departure>,
     pub cover: Cover,
 }
 
-fn life_of(server: &Server) -> Departure {
-    Departure {
-        id: server.id.clone(),
-        born: server.life.born,
-    }
-}
-
 impl Gather {
-    pub(super) fn new(now: Instant, term: Option<u64>) -> Self {
+    pub(super) fn new(now: Instant, term: Option<u64>, least_term: u64) -> Self {
         Self {
             started_at: now,
-            term: term.map(|term| term + 1),
+            term: term.map(|term| least_term.max(term + 1)),
+            least_term,
             paused: BTreeMap::new(),
+            identified: BTreeSet::new(),
             asked: BTreeMap::new(),
             other_primaries: BTreeSet::new(),
             stepped_down: None,
+            seen_term: 0,
         }
     }
 
@@ -80,13 +92,14 @@
         registry: &Registry,
         actions: &mut Vec<Action>,
     ) {
-        let primary = registry.primary(service).map(|server| &server.id);
+        let primary = registry.last_primary(service).map(|server| &server.id);
         for server in registry.servers_of(service) {
             let is_primary = primary == Some(&server.id);
             let done = if is_primary {
-                self.stepped_down.is_some()
+                let stepped_down = self.stepped_down.as_ref();
+                stepped_down.is_some_and(|old| old.life == Departure::of(server))
             } else {
-                self.paused.contains_key(&life_of(server))
+                self.paused.contains_key(&Departure::of(server))
             };
             let born = server.life.born;
             let asked = self.asked.get(&server.id);
@@ -113,6 +126,12 @@
             return;
         };
         let newest = status.term.max(status.paused);
+        let is_later_term = status.term > self.seen_term;
+        self.seen_term = self.seen_term.max(status.term);
+        if is_later_term && (!self.paused.is_empty() || self.stepped_down.is_some()) {
+            // A promotion of an earlier choice was carried out late. It may have ended the pauses.
+            return self.restart(newest + 1);
+        }
         match (command, self.term) {
             (Command::Status, None) => self.restart(newest + 1),
             (Command::Status, Some(term)) if term <= status.term => self.restart(newest + 1),
@@ -139,7 +158,7 @@
             }
             (Command::StepDown(sent_term), Some(term)) if sent_term == term => {
                 if status.role == Role::Replica {
-                    self.stepped_down = Some(status);
+                    self.record_stepped_down(id, status);
                 } else if status.term >= term {
                     self.restart(newest + 1);
                 }
@@ -149,24 +168,54 @@
     }
 
     fn record_paused(&mut self, id: &str, status: Status) {
-        let Some(asked) = self.asked.get(id) else {
-            return;
-        };
-        let life = Departure {
-            id: id.to_owned(),
-            born: asked.born,
-        };
-        self.paused.insert(life, status);
+        if let Some(life) = self.asked_life(id) {
+            self.paused.insert(life, status);
+        }
+    }
+
+    fn record_stepped_down(&mut self, id: &str, status: Status) {
+        if let Some(life) = self.asked_life(id) {
+            let end = status.received;
+            // A later life with less has lost its log.
+            let is_less = |old: &SteppedDown| !is_at_or_past(end, old.end);
+            if !self.stepped_down.as_ref().is_some_and(is_less) {
+                self.stepped_down = Some(SteppedDown { life, end });
+            }
+        }
+    }
+
+    /// The life to which the latest command to a server was sent.
+    fn asked_life(&self, id: &str) -> Option<Departure> {
+        let born = self.asked.get(id)?.born;
+        let id = id.to_owned();
+        Some(Departure { id, born })
     }
 
     /// Starts over with a higher term.
     fn restart(&mut self, term: u64) {
-        self.term = Some(term);
+        self.term = Some(self.least_term.max(term));
         self.paused.clear();
+        self.identified.clear();
         self.asked.clear();
         self.stepped_down = None;
     }
 
+    /// Notes which statuses are those of the registered lives. Has to be called after each answer and
+    /// before the registry changes.
+    pub(super) fn identify(
+        &mut self,
+        service: &str,
+        registry: &Registry,
+        is_identified: impl Fn(&str) -> bool,
+    ) {
+        for server in registry.servers_of(service) {
+            let life = Departure::of(server);
+            if self.paused.contains_key(&life) && is_identified(&server.id) {
+                self.identified.insert(life);
+            }
+        }
+    }
+
     /// The server to promote, once it is proved that no other server can have an acknowledged commit
     /// that it lacks. `docs/promises.md` has the proof. `is_identified` tells whether the connection
     /// to a server is known to lead to its registered life.
@@ -178,7 +227,7 @@
         signals: Signals,
         is_identified: impl Fn(&str) -> bool,
     ) -> Option<Choice> {
-        let primary = registry.primary(service);
+        let primary = registry.last_primary(service);
         if primary.is_some()
             && self.stepped_down.is_none()
             && now < self.started_at + STEP_DOWN_TIMEOUT
@@ -186,24 +235,40 @@
             return None;
         }
         let best = self.best_replica(service, registry, &is_identified);
-        let old = self.old_primary(service, registry, signals.last_led_point);
-        let chosen = if self.is_complete(service, registry, old, &is_identified) {
-            let ahead = old.filter(|old| best.is_none_or(|best| !is_at_or_past(best.end, old.end)));
-            ahead.or(best)
+        let stepped_down = self.stepped_down(service, registry, signals.last_led_point);
+        // While a choice is unconfirmed, another server may have been primary since, and the chosen
+        // one is like a replica.
+        let is_confirmed = is_confirmed(service, registry);
+        let word = stepped_down.filter(|_| is_confirmed);
+        let old = stepped_down.filter(|old| {
+            let life = self.stepped_down.as_ref().map(|old| &old.life);
+            life == Some(&Departure::of(old.server)) && is_identified(&old.server.id)
+        });
+        let ahead = old.filter(|old| best.is_none_or(|best| !is_at_or_past(best.end, old.end)));
+        let top = ahead.or(best);
+        let is_complete = self.is_complete(service, registry, top, stepped_down, &is_identified);
+        let chosen = if is_complete {
+            top
         } else {
             // Once the primary has stepped down, its log has every acknowledged commit, whatever
             // servers have received.
-            let old = old.filter(|_| signals.last_led_point.is_some())?;
-            let caught_up = best.filter(|best| is_at_or_past(best.end, old.end));
-            let may_return = !old.server.draining && now >= self.started_at + CATCH_UP_TIMEOUT;
-            caught_up.or(may_return.then_some(old))
+            let word = word.filter(|_| signals.last_led_point.is_some())?;
+            let caught_up = best.filter(|best| is_at_or_past(best.end, word.end));
+            let may_return = !word.server.draining && now >= self.started_at + CATCH_UP_TIMEOUT;
+            caught_up.or(old.filter(|_| may_return))
         }?;
         let has_all = is_at_or_past(chosen.end, floor(service, registry));
+        let mut lives = BTreeSet::from([Departure::of(chosen.server)]);
+        if is_complete {
+            lives.extend(replicas(service, registry).map(Departure::of));
+        }
         has_all.then(|| Choice {
             id: chosen.server.id.clone(),
+            lives,
             cover: Cover {
                 until: registry.revision(),
                 point: chosen.end,
+                term: self.term.unwrap_or_default(),
             },
         })
     }
@@ -216,7 +281,7 @@
         is_identified: &impl Fn(&str) -> bool,
     ) -> Option<Candidate<'a>> {
         let paused = replicas(service, registry).filter_map(|server| {
-            let status = self.paused.get(&life_of(server))?;
+            let status = self.paused.get(&Departure::of(server))?;
             let end = status.received;
             is_identified(&server.id).then_some(Candidate { server, end })
         });
@@ -227,48 +292,65 @@
         })
     }
 
-    /// The old primary, if it has stepped down and has the log that it led with: then no server has
-    /// an acknowledged commit that it lacks. Not while a choice is unconfirmed, as another server may
-    /// have been primary since.
-    fn old_primary<'a>(
+    /// The registry's primary, if it has stepped down and has the log that it led with. If its choice
+    /// is confirmed, no server has an acknowledged commit that it lacks.
+    fn stepped_down<'a>(
         &self,
         service: &'a str,
         registry: &'a Registry,
         last_led_point: Option<Point>,
     ) -> Option<Candidate<'a>> {
-        let chosen = registry.chosen_primary(service);
-        let is_confirmed = chosen.is_none_or(|chosen| chosen.confirmed);
-        let end = self.stepped_down?.received;
+        let SteppedDown { life, end } = self.stepped_down.as_ref()?;
         let known = [floor(service, registry), last_led_point.unwrap_or_default()];
-        let has_all = known.into_iter().all(|point| is_at_or_past(end, point));
-        let server = registry.primary(service)?;
-        (is_confirmed && has_all).then_some(Candidate { server, end })
+        let has_all = known.into_iter().all(|point| is_at_or_past(*end, point));
+        let server = registry.last_primary(service)?;
+        (server.id == life.id && has_all).then_some(Candidate { server, end: *end })
     }
 
-    /// Whether the paused replicas, or they and the old primary, hold every acknowledged commit: all
+    /// Whether `top`, the most advanced server that has answered, has every acknowledged commit: all
     /// replicas are paused, and those that have departed since the last floor were paused as well, or
-    /// the old primary has what they may have had.
+    /// all servers that may have led have answered, which have what any replica may have had.
     fn is_complete(
         &self,
         service: &str,
         registry: &Registry,
+        top: Option<Candidate<'_>>,
         old: Option<Candidate<'_>>,
         is_identified: &impl Fn(&str) -> bool,
     ) -> bool {
         let is_paused = |server: &Server| {
-            self.paused.contains_key(&life_of(server)) && is_identified(&server.id)
+            self.paused.contains_key(&Departure::of(server)) && is_identified(&server.id)
         };
-        if !replicas(service, registry).all(is_paused) {
-            return false;
-        }
-        let received = |point: Point| {
-            let mut ends = self.paused.values().map(|status| status.received);
-            ends.all(|end| is_at_or_past(point, end))
+        let ends = self.paused.values().map(|status| status.received);
+        let has_received = |top: Candidate<'_>| {
+            let old_end = old.map(|old| old.end);
+            ends.chain(old_end).all(|end| is_at_or_past(top.end, end))
         };
-        let old_has_all = old.is_some_and(|old| received(old.end));
-        let best = self.best_replica(service, registry, is_identified);
-        let best_has_all = best.is_some_and(|best| received(best.end));
-        old_has_all || (best_has_all && self.unknown_departures(service, registry).next().is_none())
+        replicas(service, registry).all(is_paused)
+            && top.is_some_and(has_received)
+            && (self.unknown_departures(service, registry).next().is_none()
+                || self.have_leaders_answered(service, registry, old))
+    }
+
+    /// Whether every server that may have led since a choice was last confirmed has answered.
+    fn have_leaders_answered(
+        &self,
+        service: &str,
+        registry: &Registry,
+        old: Option<Candidate<'_>>,
+    ) -> bool {
+        // A chosen server that lacks the floor has restarted without leading: a primary keeps its log.
+        let stepped_down = self.stepped_down.as_ref().map(|old| old.life.id.as_str());
+        let stepped_down =
+            stepped_down.filter(|_| old.is_some() || !is_confirmed(service, registry));
+        let has_answered = |id: &str| {
+            let server = registry.server(id);
+            let is_paused =
+                server.is_some_and(|server| self.paused.contains_key(&Departure::of(server)));
+            stepped_down == Some(id) || is_paused
+        };
+        let history = registry.history(service);
+        history.is_some_and(|history| history.leaders().all(has_answered))
     }
 
     /// Departed lives that were not paused before, so that their logs are unknown.
@@ -279,7 +361,7 @@
     ) -> impl Iterator<Item = &'a Departure> {
         let departures = registry.history(service).into_iter();
         let departures = departures.flat_map(|history| history.departures());
-        departures.filter(|life| !self.paused.contains_key(*life))
+        departures.filter(|life| !self.identified.contains(*life))
     }
 
     /// Ids of the servers without whose answer, or that of the primary, no choice can be proved.
@@ -290,7 +372,7 @@
         is_identified: impl Fn(&str) -> bool,
     ) -> Vec<String> {
         let unpaused = replicas(service, registry).filter(|server| {
-            !self.paused.contains_key(&life_of(server)) || !is_identified(&server.id)
+            !self.paused.contains_key(&Departure::of(server)) || !is_identified(&server.id)
         });
         let departed = self.unknown_departures(service, registry);
         let departed = departed.map(|life| life.id.clone());
@@ -302,11 +384,18 @@
 }
 
 fn replicas<'a>(service: &'a str, registry: &'a Registry) -> impl Iterator<Item = &'a Server> {
-    let primary = registry.primary(service).map(|server| server.id.as_str());
+    let primary = registry
+        .last_primary(service)
+        .map(|server| server.id.as_str());
     let servers = registry.servers_of(service);
     servers.filter(move |server| Some(server.id.as_str()) != primary)
 }
 
+fn is_confirmed(service: &str, registry: &Registry) -> bool {
+    let chosen = registry.chosen_primary(service);
+    chosen.is_none_or(|chosen| chosen.confirmed)
+}
+
 fn floor(service: &str, registry: &Registry) -> Point {
     let history = registry.history(service);
     history.map_or_else(Point::default, |history| history.floor())
--- a/components/registry/src/history.rs
+++ b/components/registry/src/history.rs
@@ -4,10 +4,12 @@
 //! its log along, so that the remaining ones may lack commits. Until a point is known that covers them,
 //! the departure keeps a change of primary from relying on the remaining replicas alone.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use types::Point;
 
+use crate::server::Server;
+
 /// Limit of the departures that are listed one by one; the oldest ones are merged.
 const MAX_DEPARTURES: usize = 64;
 
@@ -20,11 +22,28 @@
     pub born: u64,
 }
 
+impl Departure {
+    /// The registered life of a server, which may end.
+    #[must_use]
+    pub fn of(server: &Server) -> Self {
+        Self {
+            id: server.id.clone(),
+            born: server.life.born,
+        }
+    }
+}
+
 /// Acknowledged commits of a service.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct History {
     /// Every commit that was acknowledged before this was recorded is at this point or before it.
     pub(crate) floor: Point,
+    /// Latest term that a server may have led. A replica that is paused for a later one receives
+    /// nothing from any primary so far.
+    pub(crate) term: u64,
+    /// Servers that may have led since a choice was last confirmed: the primary at that time, and each
+    /// choice since. Before the first choice, the server that last reported to be the primary.
+    pub(crate) leaders: BTreeSet<String>,
     /// Lives that have ended since, with the log index of the order that ended each.
     pub(crate) departures: BTreeMap<Departure, u64>,
 }
@@ -36,6 +55,17 @@
         self.floor
     }
 
+    /// Latest term that a server may have led.
+    #[must_use]
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Ids of the servers that may have led since a choice was last confirmed.
+    pub fn leaders(&self) -> impl Iterator<Item = &str> {
+        self.leaders.iter().map(String::as_str)
+    }
+
     /// Lives that have ended since the floor was recorded.
     pub fn departures(&self) -> impl Iterator<Item = &Departure> {
         self.departures.keys()
@@ -65,12 +95,13 @@
     }
 
     /// Records that every commit acknowledged so far is at `point` or before it, and that the lives
-    /// whose departures have an index up to `until` acknowledge nothing beyond it.
-    pub(crate) fn cover(&mut self, until: u64, point: Point) {
+    /// whose departures have an index up to `until` acknowledge nothing beyond it. The latest bound
+    /// holds for all commits that an earlier one bounds, and may be lower: the log of a primary has
+    /// commits that are not acknowledged.
+    pub(crate) fn cover(&mut self, until: u64, point: Point, term: u64) {
+        self.floor = point;
+        self.term = self.term.max(term);
         self.departures.retain(|_, index| *index > until);
-        if !is_at_or_past(self.floor, point) {
-            self.floor = point;
-        }
     }
 }
 
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -47,6 +47,8 @@
         /// Log index up to which departures of servers are covered as well.
         until: u64,
         point: Point,
+        /// No server has led or will lead a later term before the next choice.
+        term: u64,
     },
     /// Records the leave request of a server, whose process ends soon.
     Leave {
@@ -186,6 +188,19 @@
         }
     }
 
+    /// The primary of a service, or before the first choice the server that last reported to be it.
+    #[must_use]
+    pub fn last_primary<'a>(&'a self, service: &str) -> Option<&'a Server> {
+        if self.chosen_primaries.contains_key(service) {
+            return self.primary(service);
+        }
+        let reported = || {
+            let id = self.histories.get(service)?.leaders.first()?;
+            self.servers.get(id)
+        };
+        self.primary(service).or_else(reported)
+    }
+
     /// Whether registering a heartbeat would change more than the heartbeat number.
     #[must_use]
     pub fn would_change(&self, server: &Server) -> bool {
@@ -235,6 +250,8 @@
             Order::Register(server) => self.register(server),
             Order::Remove { id, life } => self.remove(id, *life),
             Order::Lead { service, id } => {
+                let history = self.histories.entry(service.clone()).or_default();
+                history.leaders.insert(id.clone());
                 let chosen = Primary {
                     id: id.clone(),
                     token: index,
@@ -246,6 +263,8 @@
             Order::Confirm { service, token } => match self.chosen_primaries.get_mut(service) {
                 Some(chosen) if chosen.token == *token => {
                     chosen.confirmed = true;
+                    let history = self.histories.entry(service.clone()).or_default();
+                    history.leaders = [chosen.id.clone()].into();
                     Outcome::Applied
                 }
                 _ => Outcome::Superseded,
@@ -254,9 +273,10 @@
                 service,
                 until,
                 point,
+                term,
             } => {
                 let history = self.histories.entry(service.clone()).or_default();
-                history.cover(*until, *point);
+                history.cover(*until, *point, *term);
                 Outcome::Applied
             }
             Order::Leave { id, life } => self.leave(id, *life),
@@ -286,6 +306,10 @@
             self.record_departure(&ended);
             self.leaving.remove(&ended.id);
         }
+        if server.role == Role::Primary && !self.chosen_primaries.contains_key(&server.service) {
+            let history = self.histories.entry(server.service.clone()).or_default();
+            history.leaders = [server.id.clone()].into();
+        }
         self.insert(server.clone());
         Outcome::Applied
     }
@@ -304,7 +328,7 @@
     /// Records that a registered life has ended. The log of the primary is no receipt for commits,
     /// as a replica has acknowledged each of them.
     fn record_departure(&mut self, ended: &Server) {
-        let primary = self.primary(&ended.service);
+        let primary = self.last_primary(&ended.service);
         if primary.is_some_and(|primary| primary.id == ended.id) {
             return;
         }
--- a/components/registry/tests/failover.rs
+++ b/components/registry/tests/failover.rs
@@ -163,6 +163,7 @@
         service,
         until: cover.until,
         point: cover.point,
+        term: cover.term,
     });
     world.fail_primary();
     world.report_paused("r1", 4, received);
@@ -288,7 +289,7 @@
     );
     world
         .machine
-        .on_promotion(world.now, token, Promotion::Accepted);
+        .on_promotion(world.now, token, Promotion::Accepted, &world.registry);
     world
         .machine
         .on_answer(&id, verify, Some(primary_status), &mut world.actions);
@@ -313,7 +314,7 @@
     let id = world.last_promotion().unwrap().0.to_owned();
     world
         .machine
-        .on_promotion(world.now, token, Promotion::Accepted);
+        .on_promotion(world.now, token, Promotion::Accepted, &world.registry);
     let primary_status = Status {
         role: Role::Primary,
         term: 4,
@@ -345,7 +346,7 @@
         .unwrap();
     world
         .machine
-        .on_promotion(world.now, first.1, Promotion::Unknown);
+        .on_promotion(world.now, first.1, Promotion::Unknown, &world.registry);
     world.actions.clear();
     world.advance(700);
     let again = world
@@ -368,7 +369,7 @@
     if refused {
         world
             .machine
-            .on_promotion(world.now, token, Promotion::Refused);
+            .on_promotion(world.now, token, Promotion::Refused, &world.registry);
         world.step();
     } else {
         world.advance(4100);
--- /dev/null
+++ b/components/registry/tests/histories_support/mod.rs
@@ -0,0 +1,512 @@
+//! Servers of one service with their logs, the platform, and the leader that decides.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use registry::failover::{Action, Command, Cover, Promotion, Signals, Status, Verdict};
+use registry::{Machine, Order, Registry};
+use types::target::Role;
+use types::{Lsn, Point, Term};
+
+pub const SERVERS: usize = 4;
+const SERVICE: &str = "orders";
+const STEP: Duration = Duration::from_millis(100);
+/// Time in which a change has to end once everything is in order.
+const END_TIMEOUT: Duration = Duration::from_secs(12);
+
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    RunMs(u64),
+    /// The primary commits; replicas that hear it receive its log.
+    Commit,
+    /// Whether a server receives what the primary sends.
+    Receive(usize, bool),
+    /// Whether the leader and a server reach each other.
+    Reach(usize, bool),
+    Heartbeat(usize),
+    /// A server crashes. The last primary keeps its log until another server is promoted.
+    Stop(usize),
+    /// A stopped server starts, or a new one joins.
+    Start(usize),
+    /// A server ends as planned.
+    Leave(usize),
+    /// What the leader takes the state of the primary for, rightly or not.
+    Verdict(Verdict),
+    ElectLeader,
+    /// Whether promotions are carried out and answered at once.
+    AnswerPromotions(bool),
+    /// Promotions that were not answered are carried out.
+    RunLatePromotions,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Entry {
+    point: Point,
+    /// Different for each commit.
+    number: u64,
+}
+
+#[derive(Debug, Default)]
+struct Server {
+    running: bool,
+    leads: bool,
+    term: u64,
+    paused: u64,
+    log: Vec<Entry>,
+    receives: bool,
+    reached: bool,
+    born: u64,
+    sequence: u64,
+    /// A heartbeat of this life has arrived since the connection to it was opened.
+    is_identified: bool,
+}
+
+impl Server {
+    fn end(&self) -> Point {
+        self.log
+            .last()
+            .map_or_else(Point::default, |entry| entry.point)
+    }
+
+    fn status(&self) -> Status {
+        Status {
+            role: if self.leads {
+                Role::Primary
+            } else {
+                Role::Replica
+            },
+            term: self.term,
+            received: self.end(),
+            paused: self.paused,
+        }
+    }
+
+    fn run(&mut self, command: Command) -> Option<Status> {
+        match command {
+            Command::Status => {}
+            Command::Pause(term) if !self.leads && term > self.term => {
+                self.paused = self.paused.max(term);
+            }
+            Command::Pause(_) => {}
+            Command::StepDown(term) => self.leads &= term <= self.term,
+            Command::Verify => return self.leads.then(|| self.status()),
+        }
+        Some(self.status())
+    }
+}
+
+/// A promotion that the platform carries out later.
+#[derive(Debug)]
+struct LatePromotion {
+    index: usize,
+    born: u64,
+    token: u64,
+}
+
+pub struct Simulation {
+    /// Servers acknowledge commits before they are registered.
+    early_receipts: bool,
+    servers: Vec<Server>,
+    /// Numbers of the acknowledged commits.
+    acknowledged: BTreeSet<u64>,
+    last_number: u64,
+    registry: Registry,
+    machine: Machine,
+    now: Instant,
+    verdict: Verdict,
+    /// End of the log of the primary when it last proved to lead, and the latest departure known
+    /// to the leader when it was asked.
+    led: Option<(Point, Option<u64>)>,
+    answers_promotions: bool,
+    late: Vec<LatePromotion>,
+    highest_token: u64,
+    last_born: u64,
+    /// Index of the server that was promoted last.
+    last_leader: usize,
+}
+
+fn id(index: usize) -> String {
+    format!("s{index}")
+}
+
+fn index_of(id: &str) -> usize {
+    id[1..].parse().unwrap()
+}
+
+impl Simulation {
+    pub fn new(early_receipts: bool) -> Self {
+        let mut simulation = Self {
+            early_receipts,
+            servers: (0..SERVERS).map(|_| Server::default()).collect(),
+            acknowledged: BTreeSet::new(),
+            last_number: 0,
+            registry: Registry::default(),
+            machine: Machine::new(SERVICE),
+            now: Instant::now(),
+            verdict: Verdict::Serving,
+            led: None,
+            answers_promotions: true,
+            late: Vec::new(),
+            highest_token: 0,
+            last_born: 0,
+            last_leader: 0,
+        };
+        for index in 0..SERVERS {
+            simulation.servers[index].reached = true;
+            simulation.servers[index].receives = true;
+        }
+        for index in 0..3 {
+            simulation.start(index);
+            simulation.servers[index].leads = index == 0;
+            simulation.servers[index].term = 1;
+            simulation.heartbeat(index);
+        }
+        simulation.run(STEP);
+        simulation
+    }
+
+    pub fn apply(&mut self, event: Event) {
+        match event {
+            Event::RunMs(ms) => self.run(Duration::from_millis(ms)),
+            Event::Commit => self.commit(),
+            Event::Receive(index, on) => {
+                self.servers[index].receives = on;
+                self.replicate();
+            }
+            Event::Reach(index, on) => {
+                self.servers[index].reached = on;
+                self.servers[index].is_identified &= on;
+            }
+            Event::Heartbeat(index) => self.heartbeat(index),
+            Event::Stop(index) => self.stop(index),
+            Event::Start(index) => self.start(index),
+            Event::Leave(index) => self.leave(index),
+            Event::Verdict(verdict) => self.verdict = verdict,
+            Event::ElectLeader => self.elect(),
+            Event::AnswerPromotions(on) => self.answers_promotions = on,
+            Event::RunLatePromotions => self.run_late_promotions(),
+        }
+    }
+
+    fn commit(&mut self) {
+        let primary = self
+            .servers
+            .iter_mut()
+            .find(|server| server.leads && server.running);
+        let Some(primary) = primary else {
+            return;
+        };
+        self.last_number += 1;
+        let end = primary.end();
+        primary.log.push(Entry {
+            point: Point {
+                term: Term(primary.term),
+                lsn: Lsn(end.lsn.0 + 1),
+            },
+            number: self.last_number,
+        });
+        self.replicate();
+    }
+
+    /// Copies the primary's log to the replicas that receive; a copy acknowledges what it holds.
+    fn replicate(&mut self) {
+        let primary = self
+            .servers
+            .iter()
+            .find(|server| server.leads && server.running);
+        let Some(primary) = primary else {
+            return;
+        };
+        let (log, term) = (primary.log.clone(), primary.term);
+        for (index, server) in self.servers.iter_mut().enumerate() {
+            let registered = self.registry.server(&id(index));
+            let is_registered = registered.is_some_and(|known| known.life.born == server.born);
+            let may_receive = self.early_receipts || is_registered;
+            let receives = server.running && !server.leads && server.receives && may_receive;
+            if receives && server.paused <= term {
+                server.log.clone_from(&log);
+                server.term = term;
+                self.acknowledged
+                    .extend(log.iter().map(|entry| entry.number));
+            }
+        }
+    }
+
+    fn heartbeat(&mut self, index: usize) {
+        let registered = self.registry.server(&id(index));
+        let is_known = registered.is_some_and(|known| known.life.born == self.servers[index].born);
+        let is_admitted = is_known || self.machine.admits_servers();
+        let server = &mut self.servers[index];
+        if !server.running || !server.reached || !is_admitted {
+            return;
+        }
+        server.is_identified = true;
+        server.sequence += 1;
+        let role = if server.leads {
+            Role::Primary
+        } else {
+            Role::Replica
+        };
+        let raw = wire::Server {
+            id: id(index),
+            service: SERVICE.to_owned(),
+            address: format!("10.0.0.{}:80", index + 1),
+            domain: "a".to_owned(),
+            slots: 5,
+            draining: false,
+            role: role.into(),
+            born: server.born,
+            sequence: server.sequence,
+        };
+        self.order(&Order::Register(raw.try_into().unwrap()));
+        self.replicate();
+    }
+
+    fn stop(&mut self, index: usize) {
+        let server = &mut self.servers[index];
+        server.running = false;
+        server.is_identified = false;
+        if self.last_leader != index {
+            server.log.clear();
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        self.last_born += 1;
+        let server = &mut self.servers[index];
+        if server.running {
+            return;
+        }
+        server.running = true;
+        (server.born, server.sequence, server.paused) = (self.last_born, 0, 0);
+        self.replicate();
+    }
+
+    /// A server that may lead does not leave: it drains first, and is replaced meanwhile.
+    fn leave(&mut self, index: usize) {
+        let history = self.registry.history(SERVICE);
+        let may_lead = history.is_some_and(|h| h.leaders().any(|leader| leader == id(index)));
+        if may_lead || self.servers[index].leads || !self.servers[index].running {
+            return;
+        }
+        self.stop(index);
+        let registered = self.registry.server(&id(index));
+        if let Some(life) = registered.map(|server| server.life)
+            && self.servers[index].reached
+            && life.born == self.servers[index].born
+        {
+            let id = id(index);
+            self.order(&Order::Remove { id, life });
+        }
+    }
+
+    fn elect(&mut self) {
+        self.machine = Machine::new(SERVICE);
+        self.led = None;
+        for server in &mut self.servers {
+            server.is_identified = false;
+        }
+    }
+
+    fn order(&mut self, order: &Order) {
+        self.registry.apply(self.registry.revision() + 1, order);
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.ask_primary();
+            self.step();
+        }
+    }
+
+    fn last_departure(&self) -> Option<u64> {
+        let history = self.registry.history(SERVICE);
+        history.and_then(registry::History::last_departure)
+    }
+
+    /// Asks the registered primary for a proof that it leads.
+    fn ask_primary(&mut self) {
+        let Some(primary) = self.registry.primary(SERVICE) else {
+            return;
+        };
+        let server = &self.servers[index_of(&primary.id)];
+        if server.running && server.reached && server.leads {
+            self.led = Some((server.end(), self.last_departure()));
+        }
+    }
+
+    fn step(&mut self) {
+        let signals = Signals {
+            verdict: self.verdict,
+            term: self.led.map(|(point, _)| point.term.0),
+            last_led_point: self.led.map(|(point, _)| point),
+            led_after_departures: self
+                .led
+                .is_some_and(|(_, known)| known == self.last_departure()),
+        };
+        let identified: Vec<bool> = self.servers.iter().map(|s| s.is_identified).collect();
+        let mut actions = Vec::new();
+        self.machine.step(
+            self.now,
+            &self.registry,
+            signals,
+            |id| identified[index_of(id)],
+            &mut actions,
+        );
+        while !actions.is_empty() {
+            let mut next = Vec::new();
+            for action in actions {
+                self.run_action(action, &mut next);
+            }
+            actions = next;
+        }
+    }
+
+    fn run_action(&mut self, action: Action, next: &mut Vec<Action>) {
+        match action {
+            Action::Command { id, command } => {
+                let server = &mut self.servers[index_of(&id)];
+                let reached = server.running && server.reached;
+                let status = if reached { server.run(command) } else { None };
+                self.machine.on_answer(&id, command, status, next);
+            }
+            Action::Cover(cover) => self.cover(cover),
+            Action::Choose { id, cover } => {
+                if let Some(cover) = cover {
+                    self.cover(cover);
+                }
+                let service = SERVICE.to_owned();
+                self.order(&Order::Lead { service, id });
+                self.led = None;
+            }
+            Action::Confirm { token } => {
+                let service = SERVICE.to_owned();
+                self.order(&Order::Confirm { service, token });
+                self.verdict = Verdict::Serving;
+            }
+            Action::Promote { id, token } => self.call_promotion(index_of(&id), token),
+        }
+    }
+
+    fn cover(&mut self, cover: Cover) {
+        self.order(&Order::Cover {
+            service: SERVICE.to_owned(),
+            until: cover.until,
+            point: cover.point,
+            term: cover.term,
+        });
+    }
+
+    fn call_promotion(&mut self, index: usize, token: u64) {
+        let born = self.servers[index].born;
+        if !self.answers_promotions {
+            self.late.push(LatePromotion { index, born, token });
+            return self
+                .machine
+                .on_promotion(self.now, token, Promotion::Unknown, &self.registry);
+        }
+        let reply = if self.promote(index, token) {
+            Promotion::Accepted
+        } else {
+            Promotion::Refused
+        };
+        self.machine
+            .on_promotion(self.now, token, reply, &self.registry);
+    }
+
+    /// A late promotion of a life that has ended since is not carried out: the caller can't prevent
+    /// it.
+    fn run_late_promotions(&mut self) {
+        for late in std::mem::take(&mut self.late) {
+            if self.servers[late.index].born == late.born {
+                self.promote(late.index, late.token);
+            }
+        }
+    }
+
+    /// Carries out a promotion, and checks that the server has every acknowledged commit.
+    fn promote(&mut self, index: usize, token: u64) -> bool {
+        if token < self.highest_token || !self.servers[index].running {
+            return false;
+        }
+        self.highest_token = token;
+        if self.servers[index].leads {
+            return true;
+        }
+        let kept: BTreeSet<u64> = self.servers[index].log.iter().map(|e| e.number).collect();
+        let lost: Vec<&u64> = self.acknowledged.difference(&kept).collect();
+        assert!(
+            lost.is_empty(),
+            "s{index} is promoted without the commits {lost:?}"
+        );
+        let term = self
+            .servers
+            .iter()
+            .map(|server| server.term)
+            .max()
+            .unwrap_or(0)
+            + 1;
+        self.last_leader = index;
+        for (other, server) in self.servers.iter_mut().enumerate() {
+            server.leads = other == index;
+            server.paused = 0;
+            if server.leads {
+                server.term = term;
+            }
+        }
+        self.replicate();
+        true
+    }
+
+    /// What a leader that reaches every server takes the state of the primary for.
+    fn true_verdict(&self) -> Verdict {
+        let primary = self.registry.primary(SERVICE);
+        match primary.map(|primary| self.servers[index_of(&primary.id)].leads) {
+            Some(true) => Verdict::Serving,
+            Some(false) => Verdict::Failed,
+            None => Verdict::Unknown,
+        }
+    }
+
+    /// Whether a running or stopped server has every acknowledged commit.
+    fn has_complete_log(&self) -> bool {
+        self.servers.iter().any(|server| {
+            let kept: BTreeSet<u64> = server.log.iter().map(|entry| entry.number).collect();
+            self.acknowledged.is_subset(&kept)
+        })
+    }
+
+    /// Checks that a change of primary ends once every server runs and is reached, unless the
+    /// acknowledged commits are on no server any more.
+    pub fn check_ends(&mut self) {
+        if !self.has_complete_log() {
+            return;
+        }
+        self.answers_promotions = true;
+        for index in 0..SERVERS {
+            self.servers[index].reached = true;
+            self.servers[index].receives = true;
+            self.start(index);
+        }
+        let deadline = self.now + END_TIMEOUT;
+        while self.now < deadline {
+            for index in 0..SERVERS {
+                self.heartbeat(index);
+            }
+            self.verdict = self.true_verdict();
+            self.run(Duration::from_millis(1_000));
+        }
+        let leads = self.servers.iter().any(|server| server.leads);
+        assert!(
+            !self.machine.is_active() && leads,
+            "phase {}, missing {:?} {:#?} {:?} {:?}",
+            self.machine.phase(),
+            self.machine.missing(&self.registry, |_| true),
+            self.machine,
+            self.led,
+            self.registry.history(SERVICE)
+        );
+    }
+}
--- a/components/registry/tests/state.rs
+++ b/components/registry/tests/state.rs
@@ -182,6 +182,7 @@
             term: Term(3),
             lsn: Lsn(90),
         },
+        term: 4,
     };
     apply(&mut registry, &cover);
     let leave = Order::Leave {
@@ -257,6 +258,7 @@
         service: "orders".to_owned(),
         until,
         point: Point::default(),
+        term: 0,
     };
     apply(&mut registry, &cover(until - 1));
     assert_eq!(registry.history("orders").unwrap().departures().count(), 1);
--- a/components/registry/tests/unconfirmed_choice.rs
+++ b/components/registry/tests/unconfirmed_choice.rs
@@ -41,7 +41,7 @@
     let (_, token) = world.last_promotion().unwrap();
     world
         .machine
-        .on_promotion(world.now, token, Promotion::Accepted);
+        .on_promotion(world.now, token, Promotion::Accepted, &world.registry);
     world.actions.clear();
 }
 
@@ -82,7 +82,7 @@
     let (_, token) = world.last_promotion().unwrap();
     world
         .machine
-        .on_promotion(world.now, token, Promotion::Accepted);
+        .on_promotion(world.now, token, Promotion::Accepted, &world.registry);
     world.actions.clear();
     world.register("r1", Role::Primary, false);
     world.advance(100);
--- a/components/registry/tests/world/mod.rs
+++ b/components/registry/tests/world/mod.rs
@@ -143,12 +143,13 @@
     pub fn commit_choice(&mut self) {
         let id = self.last_choice().unwrap().to_owned();
         let service = SERVICE.to_owned();
-        if let Some(Cover { until, point }) = self.last_cover() {
+        if let Some(Cover { until, point, term }) = self.last_cover() {
             let service = service.clone();
             self.apply(&Order::Cover {
                 service,
                 until,
                 point,
+                term,
             });
         }
         self.apply(&Order::Lead { service, id });
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -233,7 +233,7 @@
     Remove { id: String, born: u64, sequence: u64 },
     Lead { service: String, id: String },
     Confirm { service: String, token: u64 },
-    Cover { service: String, until: u64, point: Point },
+    Cover { service: String, until: u64, point: Point, term: u64 },
     Leave { id: String, born: u64 },
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -283,6 +283,8 @@
 pub struct History {
     pub service: String,
     pub floor: Point,
+    pub term: u64,
+    pub leaders: Vec<String>,
     pub departures: Vec<Departure>,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
