Retire a replica only once others cover what it acknowledged

What callers could see: with write.acks 1, a replica that alone had acknowledged writes is marked leaving and retired; the primary fails, and the other replica is promoted without them.

Cause: a change of primary asks so many of the registered replicas that one of them covers each write. Its contract (failover/src/lib.rs) says that a replica is retired only once another one covers what the primary had written when the entries had confirmed its mark. The request to retire checked the confirmations and not the positions.

Ruled out: silence as a proof, and commits acknowledged through unregistered servers; entries count confirmations of registered targets, under a lease.

Change: `control::api::coverage` compares the observed positions.

--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -2,6 +2,7 @@
 //! commit or for entries.
 
 pub mod change;
+mod coverage;
 pub mod read;
 pub mod reply;
 pub mod status;
--- a/components/control/src/api/change.rs
+++ b/components/control/src/api/change.rs
@@ -10,7 +10,7 @@
 use types::target::State;
 use types::{Name, Revision, Term};
 
-use super::{Call, Pending, read, reply};
+use super::{Call, Pending, coverage, read, reply};
 use crate::leader::Leader;
 use crate::process::{Loop, Waiter};
 
@@ -59,7 +59,8 @@
     Command::try_from(raw).map_err(|found| reply::findings(&found.0).into())
 }
 
-/// The command that retires a target, once no entry can send statements to it any more.
+/// The command that retires a target, once no entry can send statements to it any more and the other
+/// replicas have every write that it acknowledged.
 ///
 /// # Errors
 /// Returns the refusal.
@@ -91,6 +92,11 @@
         let text = format!("{names} may still send work to {target}; try again");
         return Err(Reply::refused(text).into());
     }
+    let database_name = &current.announcement().database;
+    if let Some(database) = catalog.database(database_name.as_str()) {
+        coverage::check(now, catalog, leader, target, database, database_name)
+            .map_err(|gap| Reply::refused(gap.text(target)))?;
+    }
     Ok(Command::Retire {
         target: target.clone(),
     })
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -64,6 +64,8 @@
     boot: u64,
     /// Catalog revision that the entry has confirmed.
     pub revision: Revision,
+    /// When it first confirmed this revision to this leader.
+    pub confirmed_at: Instant,
     /// End of the lease by the leader's clock.
     pub deadline: Instant,
 }
@@ -164,6 +166,13 @@
         self.observations.get(target)
     }
 
+    /// When an entry with a valid lease last confirmed a newer revision of the catalog.
+    #[must_use]
+    pub fn last_confirmation(&self, now: Instant) -> Option<Instant> {
+        let valid = self.holders.values().filter(|holder| holder.deadline > now);
+        valid.map(|holder| holder.confirmed_at).max()
+    }
+
     /// Whether an entry holds a valid lease and has confirmed `revision`.
     #[must_use]
     pub fn has_confirmed(&self, now: Instant, instance: &str, revision: Revision) -> bool {
@@ -253,9 +262,12 @@
         let (ttl, deadline) =
             self.leases
                 .grant(now, instance.as_str(), boot, catalog.revision())?;
+        let known = self.holders.get(instance);
+        let known = known.filter(|known| known.boot == boot && known.revision == renewal.revision);
         let holder = Holder {
             boot,
             revision: renewal.revision,
+            confirmed_at: known.map_or(now, |known| known.confirmed_at),
             deadline,
         };
         match self.holders.get_mut(instance) {
--- a/components/control/tests/api.rs
+++ b/components/control/tests/api.rs
@@ -222,6 +222,34 @@
     assert!(reply_texts(&fixture.retire(6).unwrap_err())[0].starts_with("not_found"));
 }
 
+/// Guards against a change of primary that promotes a replica without the writes that a retired one
+/// alone had acknowledged: the promises of the selection rest on the remaining replicas.
+#[test]
+fn a_replica_retires_only_once_others_cover_what_it_acknowledged() {
+    let mut fixture = Fixture::new();
+    let third = Command::Announce(announcement("t3", Role::Replica));
+    assert_eq!(fixture.apply(&third), Ok(5));
+    assert_eq!(fixture.change(&mark("t2", State::Leaving, 5, "r-1")), Ok(6));
+    let report = |target: &str, lsn| Report {
+        target: name(target),
+        point: Point {
+            term: Term(1),
+            lsn: Lsn(lsn),
+        },
+        silence: Duration::ZERO,
+    };
+    let refusal = |fixture: &Fixture| reply_texts(&fixture.retire(6).unwrap_err()).remove(0);
+    // What the primary had before the entry stopped counting t2 bounds nothing.
+    fixture.renew(6, vec![report("t1", 90), report("t3", 90)]);
+    assert!(refusal(&fixture).contains("primary's position"));
+    fixture.now += Duration::from_millis(100);
+    fixture.renew(6, vec![report("t1", 95), report("t3", 94)]);
+    assert!(refusal(&fixture).contains("other replicas may lack"));
+    fixture.now += Duration::from_millis(100);
+    fixture.renew(6, vec![report("t1", 95), report("t3", 95)]);
+    fixture.retire(6).unwrap();
+}
+
 /// Guards against counting a change as in force on an entry that is cut off, and against waiting
 /// for an entry without a lease, which can't confirm.
 #[test]
