Split the failover machine and its tests along what they decide

Change: the machine's inputs and actions, and the promotion in progress, have modules of their own; the tests of departed servers have a file of their own; `Departure` is `Lifetime`. No decision changed.

--- a/components/registry/src/convert.rs
+++ b/components/registry/src/convert.rs
@@ -3,7 +3,7 @@
 use anyhow::{Error, Result};
 use types::{Lsn, Point, Term};
 
-use crate::history::{Departure, History};
+use crate::history::{History, Lifetime};
 use crate::server::{Life, Server};
 use crate::state::{Order, Primary, Registry};
 
@@ -119,7 +119,7 @@
             born: life.born,
             sequence: life.sequence,
         };
-        let departure = |(departure, index): (&Departure, &u64)| wire::Departure {
+        let departure = |(departure, index): (&Lifetime, &u64)| wire::Departure {
             id: departure.id.clone(),
             born: departure.born,
             index: *index,
@@ -205,8 +205,8 @@
     }
 }
 
-fn decode_departure(raw: wire::Departure) -> (Departure, u64) {
-    let departure = Departure {
+fn decode_departure(raw: wire::Departure) -> (Lifetime, u64) {
+    let departure = Lifetime {
         id: raw.id,
         born: raw.born,
     };
--- a/components/registry/src/failover.rs
+++ b/components/registry/src/failover.rs
@@ -5,124 +5,26 @@
 //! positions, and only then chooses. A command without an answer may still run seconds later; it
 //! carries a term or a token that makes it harmless by then.
 
+mod action;
 mod gather;
+mod promote;
 
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use types::Point;
-use types::target::Role;
-
-use crate::history::{Departure, History};
-use crate::server::Life;
-use crate::state::{Primary, Registry};
+use crate::history::{History, Lifetime};
+use crate::state::Registry;
+pub use action::{Action, Command, Cover, Promotion, Signals, Status, Verdict};
 use gather::{Choice, Gather};
+use promote::{Promote, VERIFY_INTERVAL};
 
 /// Delay before an unanswered command is sent again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(600);
-/// Interval of the checks whether a promotion has taken effect.
-const VERIFY_INTERVAL: Duration = Duration::from_millis(120);
 /// Time limit for the commit of a choice.
 const CHOICE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time limit for a promotion to take effect; afterwards all positions are gathered again.
-const PROMOTION_TIMEOUT: Duration = Duration::from_secs(4);
 /// How long a service may have no known primary before one is chosen.
 const NO_PRIMARY_GRACE: Duration = Duration::from_secs(2);
 
-/// A command to a server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Command {
-    /// Report role and positions.
-    Status,
-    /// Stop receiving replicated data until a promotion to this term.
-    Pause(u64),
-    /// Stop acting as primary if the own term is lower than this one.
-    StepDown(u64),
-    /// Prove to be the primary: only a primary can begin a transaction that may write.
-    Verify,
-}
-
-/// Role and positions that a server reports.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Status {
-    pub role: Role,
-    pub term: u64,
-    /// End of the received log, which may not be applied yet.
-    pub received: Point,
-    /// Term of the pause in force; 0 for none.
-    pub paused: u64,
-}
-
-/// Reply of the platform to a promotion request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Promotion {
-    /// The promotion has taken effect or soon will.
-    Accepted,
-    /// The server is not running, or the platform has seen a higher token.
-    Refused,
-    /// No reply, or temporarily refused; the promotion may still be carried out.
-    Unknown,
-}
-
-/// Bound of the acknowledged commits of a service.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Cover {
-    /// Log index up to which departures of servers are covered.
-    pub until: u64,
-    /// Every commit acknowledged so far is at this point or before it.
-    pub point: Point,
-    /// No server has led or will lead a later term before the next choice.
-    pub term: u64,
-}
-
-/// What the caller of the state machine has to do.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Action {
-    /// Send a command to a server and pass its answer to [`Machine::on_answer`].
-    Command { id: String, command: Command },
-    /// Propose this server as the next primary.
-    Choose {
-        id: String,
-        /// Has to precede the choice in the log; `None` if the server leads already.
-        cover: Option<Cover>,
-    },
-    /// Propose to record the end of the acknowledged commits.
-    Cover(Cover),
-    /// Ask the platform to promote a server.
-    Promote {
-        id: String,
-        /// Fencing token.
-        token: u64,
-    },
-    /// Propose to record that a promotion has taken effect.
-    Confirm {
-        /// Fencing token of the promotion.
-        token: u64,
-    },
-}
-
-/// State of a service's primary as judged by the leading coordinator.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    Serving,
-    /// Not enough evidence for either verdict.
-    Unknown,
-    Failed,
-}
-
-/// Observations that a step is based on.
-#[derive(Clone, Copy, Debug)]
-pub struct Signals {
-    /// State of the present primary.
-    pub verdict: Verdict,
-    /// Highest term of any server of the service, if known.
-    pub term: Option<u64>,
-    /// End of the primary's log when it last proved to be the primary.
-    pub last_led_point: Option<Point>,
-    /// It was asked for this proof after every departure that the registry holds.
-    pub led_after_departures: bool,
-}
-
 #[derive(Debug)]
 enum Phase {
     Steady,
@@ -136,9 +38,9 @@
         /// Token of the previous choice; that of the new one is higher.
         previous_token: u64,
         /// The lives on whose logs and pauses the choice rests; none if the server leads already.
-        proof: BTreeSet<Departure>,
+        proof: BTreeSet<Lifetime>,
         /// The registered lives at that time.
-        lives: BTreeSet<Departure>,
+        lives: BTreeSet<Lifetime>,
         deadline: Instant,
     },
     Promote(Promote),
@@ -154,23 +56,6 @@
     is_primary: bool,
 }
 
-#[derive(Debug)]
-struct Promote {
-    id: String,
-    token: u64,
-    /// The lives on whose logs and pauses the choice rests; none if the server led already.
-    proof: BTreeSet<Departure>,
-    deadline: Instant,
-    /// When the platform is called next; `None` during a call and once a call was accepted.
-    call_at: Option<Instant>,
-    accepted: bool,
-    /// It is the primary; its confirmation has been proposed.
-    is_primary: bool,
-    verify_at: Instant,
-    /// Last heartbeat before the promotion, if it reported the role of a replica.
-    life_as_replica: Option<Life>,
-}
-
 /// Failover state machine of one service, run by the leading coordinator.
 ///
 /// Everything that must survive the loss of this coordinator is in the replicated state: a new
@@ -491,57 +376,7 @@
     history.map_or(0, |history| history.term() + 1)
 }
 
-fn lives_of(service: &str, registry: &Registry) -> BTreeSet<Departure> {
+fn lives_of(service: &str, registry: &Registry) -> BTreeSet<Lifetime> {
     let servers = registry.servers_of(service);
-    servers.map(Departure::of).collect()
-}
-
-impl Promote {
-    fn is_confirmed(&self, service: &str, registry: &Registry) -> bool {
-        let chosen = registry.chosen_primary(service);
-        chosen.is_some_and(|chosen| chosen.token == self.token && chosen.confirmed)
-    }
-
-    /// Whether the lives on which the choice rests go on. One that has restarted lacks its log and
-    /// receives commits of the old primary.
-    fn is_proved(&self, registry: &Registry, is_identified: impl Fn(&str) -> bool) -> bool {
-        let goes_on = |life: &Departure| {
-            let server = registry.server(&life.id);
-            server.is_some_and(|server| server.life.born == life.born) && is_identified(&life.id)
-        };
-        self.proof.iter().all(goes_on)
-    }
-
-    /// Whether a heartbeat since the promotion reports the role of a primary. An overloaded server
-    /// may leave commands unanswered for a while, but its heartbeats report the new role at once.
-    fn has_reported_primary(&self, registry: &Registry) -> bool {
-        let (Some(life), Some(server)) = (self.life_as_replica, registry.server(&self.id)) else {
-            return false;
-        };
-        server.role == Role::Primary
-            && server.life.born == life.born
-            && server.life.sequence > life.sequence
-    }
-
-    fn new(
-        now: Instant,
-        chosen: &Primary,
-        proof: BTreeSet<Departure>,
-        registry: &Registry,
-    ) -> Self {
-        let (id, token) = (chosen.id.clone(), chosen.token);
-        let server = registry.server(&id);
-        let replica = server.filter(|server| server.role == Role::Replica);
-        Self {
-            life_as_replica: replica.map(|server| server.life),
-            id,
-            token,
-            proof,
-            deadline: now + PROMOTION_TIMEOUT,
-            call_at: Some(now),
-            accepted: false,
-            is_primary: false,
-            verify_at: now + VERIFY_INTERVAL,
-        }
-    }
+    servers.map(Lifetime::of).collect()
 }
--- a/components/registry/src/failover/gather.rs
+++ b/components/registry/src/failover/gather.rs
@@ -7,7 +7,7 @@
 use types::target::Role;
 
 use super::{Action, Command, Cover, RETRY_INTERVAL, Signals, Status};
-use crate::history::{Departure, is_at_or_past};
+use crate::history::{Lifetime, is_at_or_past};
 use crate::server::Server;
 use crate::state::Registry;
 
@@ -25,10 +25,10 @@
     least_term: u64,
     /// Statuses of the paused lives. Those of lives that have ended since are kept: what they had
     /// received may be acknowledged.
-    paused: BTreeMap<Departure, Status>,
+    paused: BTreeMap<Lifetime, Status>,
     /// Those of them whose statuses are known to be theirs: their connections were identified
     /// afterwards, while they were registered.
-    identified: BTreeSet<Departure>,
+    identified: BTreeSet<Lifetime>,
     /// The latest command to each server.
     asked: BTreeMap<String, Asked>,
     /// Servers other than the registry's primary that report being primary: the promotion of an
@@ -42,7 +42,7 @@
 
 #[derive(Debug)]
 struct SteppedDown {
-    life: Departure,
+    life: Lifetime,
     /// End of its log.
     end: Point,
 }
@@ -66,7 +66,7 @@
 pub(super) struct Choice {
     pub id: String,
     /// The lives on whose logs and pauses the proof rests.
-    pub lives: BTreeSet<Departure>,
+    pub lives: BTreeSet<Lifetime>,
     pub cover: Cover,
 }
 
@@ -97,9 +97,9 @@
             let is_primary = primary == Some(&server.id);
             let done = if is_primary {
                 let stepped_down = self.stepped_down.as_ref();
-                stepped_down.is_some_and(|old| old.life == Departure::of(server))
+                stepped_down.is_some_and(|old| old.life == Lifetime::of(server))
             } else {
-                self.paused.contains_key(&Departure::of(server))
+                self.paused.contains_key(&Lifetime::of(server))
             };
             let born = server.life.born;
             let asked = self.asked.get(&server.id);
@@ -185,10 +185,10 @@
     }
 
     /// The life to which the latest command to a server was sent.
-    fn asked_life(&self, id: &str) -> Option<Departure> {
+    fn asked_life(&self, id: &str) -> Option<Lifetime> {
         let born = self.asked.get(id)?.born;
         let id = id.to_owned();
-        Some(Departure { id, born })
+        Some(Lifetime { id, born })
     }
 
     /// Starts over with a higher term.
@@ -209,7 +209,7 @@
         is_identified: impl Fn(&str) -> bool,
     ) {
         for server in registry.servers_of(service) {
-            let life = Departure::of(server);
+            let life = Lifetime::of(server);
             if self.paused.contains_key(&life) && is_identified(&server.id) {
                 self.identified.insert(life);
             }
@@ -242,7 +242,7 @@
         let word = stepped_down.filter(|_| is_confirmed);
         let old = stepped_down.filter(|old| {
             let life = self.stepped_down.as_ref().map(|old| &old.life);
-            life == Some(&Departure::of(old.server)) && is_identified(&old.server.id)
+            life == Some(&Lifetime::of(old.server)) && is_identified(&old.server.id)
         });
         let ahead = old.filter(|old| best.is_none_or(|best| !is_at_or_past(best.end, old.end)));
         let top = ahead.or(best);
@@ -258,9 +258,9 @@
             caught_up.or(old.filter(|_| may_return))
         }?;
         let has_all = is_at_or_past(chosen.end, floor(service, registry));
-        let mut lives = BTreeSet::from([Departure::of(chosen.server)]);
+        let mut lives = BTreeSet::from([Lifetime::of(chosen.server)]);
         if is_complete {
-            lives.extend(replicas(service, registry).map(Departure::of));
+            lives.extend(replicas(service, registry).map(Lifetime::of));
         }
         has_all.then(|| Choice {
             id: chosen.server.id.clone(),
@@ -281,7 +281,7 @@
         is_identified: &impl Fn(&str) -> bool,
     ) -> Option<Candidate<'a>> {
         let paused = replicas(service, registry).filter_map(|server| {
-            let status = self.paused.get(&Departure::of(server))?;
+            let status = self.paused.get(&Lifetime::of(server))?;
             let end = status.received;
             is_identified(&server.id).then_some(Candidate { server, end })
         });
@@ -319,7 +319,7 @@
         is_identified: &impl Fn(&str) -> bool,
     ) -> bool {
         let is_paused = |server: &Server| {
-            self.paused.contains_key(&Departure::of(server)) && is_identified(&server.id)
+            self.paused.contains_key(&Lifetime::of(server)) && is_identified(&server.id)
         };
         let ends = self.paused.values().map(|status| status.received);
         let has_received = |top: Candidate<'_>| {
@@ -346,7 +346,7 @@
         let has_answered = |id: &str| {
             let server = registry.server(id);
             let is_paused =
-                server.is_some_and(|server| self.paused.contains_key(&Departure::of(server)));
+                server.is_some_and(|server| self.paused.contains_key(&Lifetime::of(server)));
             stepped_down == Some(id) || is_paused
         };
         let history = registry.history(service);
@@ -358,7 +358,7 @@
         &'a self,
         service: &str,
         registry: &'a Registry,
-    ) -> impl Iterator<Item = &'a Departure> {
+    ) -> impl Iterator<Item = &'a Lifetime> {
         let departures = registry.history(service).into_iter();
         let departures = departures.flat_map(|history| history.departures());
         departures.filter(|life| !self.identified.contains(*life))
@@ -372,7 +372,7 @@
         is_identified: impl Fn(&str) -> bool,
     ) -> Vec<String> {
         let unpaused = replicas(service, registry).filter(|server| {
-            !self.paused.contains_key(&Departure::of(server)) || !is_identified(&server.id)
+            !self.paused.contains_key(&Lifetime::of(server)) || !is_identified(&server.id)
         });
         let departed = self.unknown_departures(service, registry);
         let departed = departed.map(|life| life.id.clone());
--- a/components/registry/src/history.rs
+++ b/components/registry/src/history.rs
@@ -13,17 +13,17 @@
 /// Limit of the departures that are listed one by one; the oldest ones are merged.
 const MAX_DEPARTURES: usize = 64;
 
-/// The end of one life of a server: the process has ended, and its log is gone.
+/// One process of a server. When it ends, its log is gone.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Departure {
+pub struct Lifetime {
     /// Empty for departures that were merged, which is no valid id of a server.
     pub id: String,
     /// Start of the life, as [`crate::Life::born`].
     pub born: u64,
 }
 
-impl Departure {
-    /// The registered life of a server, which may end.
+impl Lifetime {
+    /// The registered life of a server.
     #[must_use]
     pub fn of(server: &Server) -> Self {
         Self {
@@ -45,7 +45,7 @@
     /// choice since. Before the first choice, the server that last reported to be the primary.
     pub(crate) leaders: BTreeSet<String>,
     /// Lives that have ended since, with the log index of the order that ended each.
-    pub(crate) departures: BTreeMap<Departure, u64>,
+    pub(crate) departures: BTreeMap<Lifetime, u64>,
 }
 
 impl History {
@@ -67,7 +67,7 @@
     }
 
     /// Lives that have ended since the floor was recorded.
-    pub fn departures(&self) -> impl Iterator<Item = &Departure> {
+    pub fn departures(&self) -> impl Iterator<Item = &Lifetime> {
         self.departures.keys()
     }
 
@@ -77,8 +77,8 @@
         self.departures.values().copied().max()
     }
 
-    pub(crate) fn record_departure(&mut self, departure: Departure, index: u64) {
-        self.departures.insert(departure, index);
+    pub(crate) fn record_departure(&mut self, ended: Lifetime, index: u64) {
+        self.departures.insert(ended, index);
         while self.departures.len() > MAX_DEPARTURES {
             let named = self.departures.iter().filter(|(key, _)| !key.id.is_empty());
             let Some((oldest, index)) = named.min_by_key(|(_, index)| **index) else {
@@ -86,7 +86,7 @@
             };
             let (oldest, index) = (oldest.clone(), *index);
             self.departures.remove(&oldest);
-            let merged = Departure {
+            let merged = Lifetime {
                 id: String::new(),
                 born: 0,
             };
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -5,7 +5,7 @@
 use types::Point;
 use types::target::Role;
 
-use crate::history::{Departure, History};
+use crate::history::{History, Lifetime};
 use crate::server::{Life, Server};
 
 /// Limit of the remembered ended lives; the oldest are dropped first.
@@ -332,12 +332,8 @@
         if primary.is_some_and(|primary| primary.id == ended.id) {
             return;
         }
-        let departure = Departure {
-            id: ended.id.clone(),
-            born: ended.life.born,
-        };
         let history = self.histories.entry(ended.service.clone()).or_default();
-        history.record_departure(departure, self.revision);
+        history.record_departure(Lifetime::of(ended), self.revision);
     }
 
     pub(crate) fn insert(&mut self, server: Server) {
--- a/components/registry/tests/failover.rs
+++ b/components/registry/tests/failover.rs
@@ -59,155 +59,11 @@
     world.report_paused("r1", 4, (3, 90));
     world.advance(60_000);
     assert_eq!(world.last_choice(), None);
-    step_down(&mut world, (3, 95));
+    world.step_down((3, 95));
     world.advance(1_100);
     assert_eq!(world.last_choice(), Some("p"));
 }
 
-// A replica that alone had acknowledged commits left just after the primary had crashed; the remaining
-// one, which lacked them, was the only registered replica and was promoted.
-#[test]
-fn waits_for_the_primary_if_a_replica_has_departed() {
-    let mut world = World::new();
-    world.remove("r2");
-    world.fail_primary();
-    world.report_paused("r1", 4, (3, 95));
-    world.advance(60_000);
-    assert_eq!(world.last_choice(), None);
-    step_down(&mut world, (3, 97));
-    assert_eq!(world.last_choice(), Some("p"));
-}
-
-// Guards against promoting a server behind a replica that was paused and then left: its position
-// was dropped with its registration.
-#[test]
-fn remembers_a_paused_replica_that_leaves() {
-    let mut world = World::new();
-    world.fail_primary();
-    world.report_paused("r2", 4, (3, 97));
-    world.remove("r2");
-    world.report_paused("r1", 4, (3, 95));
-    world.advance(60_000);
-    assert_eq!(world.last_choice(), None);
-    step_down(&mut world, (3, 97));
-    assert_eq!(world.last_choice(), Some("p"));
-}
-
-// A paused replica that leaves has acknowledged nothing beyond its position.
-#[test]
-fn does_not_wait_if_a_paused_replica_that_left_had_no_more() {
-    let mut world = World::new();
-    world.fail_primary();
-    world.report_paused("r2", 4, (3, 95));
-    world.remove("r2");
-    world.report_paused("r1", 4, (3, 95));
-    assert_eq!(world.last_choice(), Some("r1"));
-}
-
-// A replica that restarts has lost its log and receives commits again: its pause is void.
-#[test]
-fn pauses_a_restarted_replica_again() {
-    let mut world = World::new();
-    world.fail_primary();
-    world.report_paused("r2", 4, (3, 97));
-    world.register_life("r2", Role::Replica, false, 2);
-    world.actions.clear();
-    world.report_paused("r1", 4, (3, 95));
-    assert_eq!(world.last_choice(), None);
-    let pause = Action::Command {
-        id: "r2".to_owned(),
-        command: Command::Pause(4),
-    };
-    assert!(world.actions.contains(&pause));
-    world.report_paused("r2", 4, (0, 0));
-    assert_eq!(
-        world.last_choice(),
-        None,
-        "what it had before the restart is known and missing"
-    );
-}
-
-// A replica that has restarted answers under its registered life until its first heartbeat arrives.
-#[test]
-fn ignores_the_position_of_a_server_that_may_have_restarted() {
-    let mut world = World::new();
-    world.unidentified.push("r2".to_owned());
-    world.fail_primary();
-    world.report_paused("r2", 4, (0, 0));
-    world.report_paused("r1", 4, (3, 95));
-    world.advance(1_000);
-    assert_eq!(world.last_choice(), None);
-    world.unidentified.clear();
-    world.step();
-    assert_eq!(world.last_choice(), Some("r1"));
-}
-
-// Guards against relying on the primary for ever after a replica was replaced in a release: the
-// primary's next proof of leadership bounds what the departed replica had.
-#[rstest]
-#[case::has_what_the_primary_had((3, 90), Some("r1"))]
-#[case::lacks_what_the_primary_had((3, 89), None)]
-fn relies_on_replicas_again_once_the_primary_has_led_after_a_departure(
-    #[case] received: (u64, u64),
-    #[case] expected: Option<&str>,
-) {
-    let mut world = World::new();
-    world.remove("r2");
-    world.led_after_departures = true;
-    world.step();
-    let [Action::Cover(cover)] = world.actions[..] else {
-        panic!("expected one cover, found {:?}", world.actions);
-    };
-    let service = SERVICE.to_owned();
-    world.apply(&Order::Cover {
-        service,
-        until: cover.until,
-        point: cover.point,
-        term: cover.term,
-    });
-    world.fail_primary();
-    world.report_paused("r1", 4, received);
-    assert_eq!(world.last_choice(), expected);
-}
-
-// A proof of leadership that was asked for before the departure says nothing about what the departed
-// replica acknowledged in between.
-#[test]
-fn does_not_cover_a_departure_with_an_earlier_proof() {
-    let mut world = World::new();
-    world.remove("r2");
-    world.step();
-    assert_eq!(world.actions, []);
-}
-
-// The chosen server was the most advanced one and was lost before its promotion; the others were
-// taken for all replicas, since the choice was taken for the primary.
-#[test]
-fn does_not_choose_a_server_behind_an_earlier_choice() {
-    let mut world = World::new();
-    world.fail_primary();
-    world.report_paused("r1", 4, (3, 95));
-    world.report_paused("r2", 4, (3, 90));
-    world.commit_choice();
-    world.register("p", Role::Replica, false);
-    world.remove("p");
-    world.actions.clear();
-    world.advance(4_100);
-    let status = Status {
-        role: Role::Replica,
-        term: 3,
-        received: Point::default(),
-        paused: 4,
-    };
-    world
-        .machine
-        .on_answer("r2", Command::Status, Some(status), &mut world.actions);
-    world.advance(700);
-    world.report_paused("r2", 5, (3, 90));
-    world.advance(60_000);
-    assert_eq!(world.last_choice(), None);
-}
-
 // Promoting a replica that is about to leave would require another switch at once.
 #[test]
 fn prefers_a_replica_that_is_not_draining() {
@@ -437,24 +293,6 @@
     assert_eq!(world.last_choice(), Some("p"));
 }
 
-/// Has the old primary step down and report the end of its log.
-fn step_down(world: &mut World, received: (u64, u64)) {
-    let status = Status {
-        role: Role::Replica,
-        term: 3,
-        received: Point {
-            term: Term(received.0),
-            lsn: Lsn(received.1),
-        },
-        paused: 0,
-    };
-    let command = Command::StepDown(4);
-    world
-        .machine
-        .on_answer("p", command, Some(status), &mut world.actions);
-    world.step();
-}
-
 // The log of a stepped-down primary contains every commit that it acknowledged, so an unreachable
 // replica can't have more. Waiting for such a replica cost six seconds in an incident.
 #[rstest]
@@ -466,7 +304,7 @@
 ) {
     let mut world = World::new();
     world.fail_primary();
-    step_down(&mut world, end);
+    world.step_down(end);
     world.report_paused("r1", 4, (3, 95));
     world.advance(1100);
     assert_eq!(world.last_choice(), expected);
@@ -483,7 +321,7 @@
     };
     world.apply(&choice);
     world.fail_primary();
-    step_down(&mut world, (3, 95));
+    world.step_down((3, 95));
     world.report_paused("r1", 4, (3, 95));
     world.advance(1100);
     assert_eq!(world.last_choice(), None);
@@ -500,7 +338,7 @@
     let mut world = World::new();
     world.last_led_point = last_led_point;
     world.fail_primary();
-    step_down(&mut world, (3, 95));
+    world.step_down((3, 95));
     world.report_paused("r1", 4, (3, 95));
     world.advance(1100);
     assert_eq!(world.last_choice(), None);
@@ -513,7 +351,7 @@
     world.register("p", Role::Primary, true);
     world.step();
     world.advance(500);
-    step_down(&mut world, (3, 96));
+    world.step_down((3, 96));
     world.report_paused("r1", 4, (3, 95));
     world.advance(1100);
     assert_eq!(world.last_choice(), None);
@@ -527,7 +365,7 @@
     let mut world = World::new();
     world.last_led_point = None;
     world.fail_primary();
-    step_down(&mut world, (3, 95));
+    world.step_down((3, 95));
     world.report_paused("r1", 4, (3, 90));
     world.remove("r2");
     world.advance(2_000);
@@ -540,7 +378,7 @@
     let mut world = World::new();
     world.last_led_point = None;
     world.fail_primary();
-    step_down(&mut world, (3, 90));
+    world.step_down((3, 90));
     world.report_paused("r1", 4, (3, 90));
     world.remove("r2");
     world.advance(2_000);
--- a/components/registry/tests/histories_support/mod.rs
+++ b/components/registry/tests/histories_support/mod.rs
@@ -1,10 +1,13 @@
 //! Servers of one service with their logs, the platform, and the leader that decides.
 
+mod server;
+
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use registry::failover::{Action, Command, Cover, Promotion, Signals, Status, Verdict};
+use registry::failover::{Action, Cover, Promotion, Signals, Verdict};
 use registry::{Machine, Order, Registry};
+use server::{Entry, Server};
 use types::target::Role;
 use types::{Lsn, Point, Term};
 
@@ -39,62 +42,6 @@
     RunLatePromotions,
 }
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct Entry {
-    point: Point,
-    /// Different for each commit.
-    number: u64,
-}
-
-#[derive(Debug, Default)]
-struct Server {
-    running: bool,
-    leads: bool,
-    term: u64,
-    paused: u64,
-    log: Vec<Entry>,
-    receives: bool,
-    reached: bool,
-    born: u64,
-    sequence: u64,
-    /// A heartbeat of this life has arrived since the connection to it was opened.
-    is_identified: bool,
-}
-
-impl Server {
-    fn end(&self) -> Point {
-        self.log
-            .last()
-            .map_or_else(Point::default, |entry| entry.point)
-    }
-
-    fn status(&self) -> Status {
-        Status {
-            role: if self.leads {
-                Role::Primary
-            } else {
-                Role::Replica
-            },
-            term: self.term,
-            received: self.end(),
-            paused: self.paused,
-        }
-    }
-
-    fn run(&mut self, command: Command) -> Option<Status> {
-        match command {
-            Command::Status => {}
-            Command::Pause(term) if !self.leads && term > self.term => {
-                self.paused = self.paused.max(term);
-            }
-            Command::Pause(_) => {}
-            Command::StepDown(term) => self.leads &= term <= self.term,
-            Command::Verify => return self.leads.then(|| self.status()),
-        }
-        Some(self.status())
-    }
-}
-
 /// A promotion that the platform carries out later.
 #[derive(Debug)]
 struct LatePromotion {
--- a/components/registry/tests/world/mod.rs
+++ b/components/registry/tests/world/mod.rs
@@ -118,6 +118,23 @@
         self.step();
     }
 
+    /// Has the old primary step down and report the end of its log.
+    pub fn step_down(&mut self, received: (u64, u64)) {
+        let status = Status {
+            role: Role::Replica,
+            term: 3,
+            received: Point {
+                term: Term(received.0),
+                lsn: Lsn(received.1),
+            },
+            paused: 0,
+        };
+        let command = Command::StepDown(4);
+        self.machine
+            .on_answer("p", command, Some(status), &mut self.actions);
+        self.step();
+    }
+
     pub fn last_choice(&self) -> Option<&str> {
         self.actions.iter().rev().find_map(|action| match action {
             Action::Choose { id, .. } => Some(id.as_str()),
