--- a/components/coordinator/src/lib.rs
+++ b/components/coordinator/src/lib.rs
@@ -5,6 +5,7 @@
 //! Entries are the processes that take callers' connections; the crate `proxy` implements them.
 
 mod api;
+mod changes;
 mod event;
 mod leadership;
 mod log;
--- a/components/coordinator/src/process.rs
+++ b/components/coordinator/src/process.rs
@@ -12,8 +12,7 @@
 use disk::{Native, Wal};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use registry::failover::{Action, Cover};
-use registry::{Order, Plan, Registry};
+use registry::{Plan, Registry};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
@@ -25,7 +24,7 @@
 use crate::metrics::Set;
 use crate::neighbours::Neighbours;
 use crate::samples::Cache;
-use crate::servers::{self, Agent, Connection};
+use crate::servers::{Agent, Connection};
 use crate::subscribers::Subscribers;
 
 /// Length of the event queue; senders wait while it is full.
@@ -388,50 +387,6 @@
         Ok(())
     }
 
-    /// Carries out actions of the failover machines.
-    fn run_failover_actions(&mut self, now: Instant, actions: Vec<(String, Action)>) -> Result<()> {
-        for (service, action) in actions {
-            let order = match action {
-                Action::Command { id, command } => {
-                    if let Some(leadership) = &self.leadership {
-                        leadership.command(&id, command);
-                    }
-                    continue;
-                }
-                Action::Promote { id, token } => {
-                    let (platform, holder) =
-                        (self.settings.promoter, self.settings.instance.as_str());
-                    servers::promote::<C>(&self.events, platform, holder, &service, &id, token);
-                    continue;
-                }
-                Action::Choose { id, cover } => {
-                    let cover = cover.map(|cover| cover_order(&service, cover));
-                    if let Some(cover) = cover
-                        && !self.propose_failover_order(now, &cover)?
-                    {
-                        continue;
-                    }
-                    Order::Lead { service, id }
-                }
-                Action::Cover(cover) => cover_order(&service, cover),
-                Action::Confirm { token } => Order::Confirm { service, token },
-            };
-            self.propose_failover_order(now, &order)?;
-        }
-        Ok(())
-    }
-
-    /// Proposes an order of a failover machine, which tries again if it isn't committed. Returns
-    /// whether it was proposed.
-    fn propose_failover_order(&mut self, now: Instant, order: &Order) -> Result<bool> {
-        let Err((refusal, _)) = self.propose(now, order, Waiter::None)? else {
-            return Ok(true);
-        };
-        tracing::warn!(%refusal, ?order, "failover order not proposed; the failover machine tries again");
-        self.metrics.common.retries.add("proposal");
-        Ok(false)
-    }
-
     fn reload(&mut self, now: Instant) {
         match settings::load::<settings::Coordinator>(&self.settings_path) {
             Ok(settings) => {
@@ -446,15 +401,6 @@
     }
 }
 
-fn cover_order(service: &str, cover: Cover) -> Order {
-    Order::Cover {
-        service: service.to_owned(),
-        until: cover.until,
-        point: cover.point,
-        term: cover.term,
-    }
-}
-
 /// Reads the monotonic clock, which tests can pause.
 fn now() -> Instant {
     tokio::time::Instant::now().into_std()
--- a/components/registry/tests/departures.rs
+++ b/components/registry/tests/departures.rs
@@ -9,6 +9,14 @@
 use types::target::Role;
 use world::{SERVICE, World};
 
+/// Checks that only the log of the old primary, which ends at `end`, ends the wait.
+fn assert_waits_for_the_primary(world: &mut World, end: (u64, u64)) {
+    world.advance(60_000);
+    assert_eq!(world.last_choice(), None);
+    world.step_down(end);
+    assert_eq!(world.last_choice(), Some("p"));
+}
+
 // A replica that alone had acknowledged commits left just after the primary had crashed; the remaining
 // one, which lacked them, was the only registered replica and was promoted.
 #[test]
@@ -17,10 +25,7 @@
     world.remove("r2");
     world.fail_primary();
     world.report_paused("r1", 4, (3, 95));
-    world.advance(60_000);
-    assert_eq!(world.last_choice(), None);
-    world.step_down((3, 97));
-    assert_eq!(world.last_choice(), Some("p"));
+    assert_waits_for_the_primary(&mut world, (3, 97));
 }
 
 // Guards against promoting a server behind a replica that was paused and then left: its position
@@ -32,10 +37,7 @@
     world.report_paused("r2", 4, (3, 97));
     world.remove("r2");
     world.report_paused("r1", 4, (3, 95));
-    world.advance(60_000);
-    assert_eq!(world.last_choice(), None);
-    world.step_down((3, 97));
-    assert_eq!(world.last_choice(), Some("p"));
+    assert_waits_for_the_primary(&mut world, (3, 97));
 }
 
 // A paused replica that leaves has acknowledged nothing beyond its position.
--- a/components/registry/tests/histories_support/mod.rs
+++ b/components/registry/tests/histories_support/mod.rs
@@ -1,11 +1,13 @@
 //! Servers of one service with their logs, the platform, and the leader that decides.
 
+mod platform;
 mod server;
 
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use registry::failover::{Action, Cover, Promotion, Signals, Verdict};
+use platform::LatePromotion;
+use registry::failover::{Action, Cover, Signals, Verdict};
 use registry::{Machine, Order, Registry};
 use server::{Entry, Server};
 use types::target::Role;
@@ -42,14 +44,6 @@
     RunLatePromotions,
 }
 
-/// A promotion that the platform carries out later.
-#[derive(Debug)]
-struct LatePromotion {
-    index: usize,
-    born: u64,
-    token: u64,
-}
-
 pub struct Simulation {
     /// Servers acknowledge commits before they are registered.
     early_receipts: bool,
@@ -346,67 +340,6 @@
         });
     }
 
-    fn call_promotion(&mut self, index: usize, token: u64) {
-        let born = self.servers[index].born;
-        if !self.answers_promotions {
-            self.late.push(LatePromotion { index, born, token });
-            return self
-                .machine
-                .on_promotion(self.now, token, Promotion::Unknown, &self.registry);
-        }
-        let reply = if self.promote(index, token) {
-            Promotion::Accepted
-        } else {
-            Promotion::Refused
-        };
-        self.machine
-            .on_promotion(self.now, token, reply, &self.registry);
-    }
-
-    /// A late promotion of a life that has ended since is not carried out: the caller can't prevent
-    /// it.
-    fn run_late_promotions(&mut self) {
-        for late in std::mem::take(&mut self.late) {
-            if self.servers[late.index].born == late.born {
-                self.promote(late.index, late.token);
-            }
-        }
-    }
-
-    /// Carries out a promotion, and checks that the server has every acknowledged commit.
-    fn promote(&mut self, index: usize, token: u64) -> bool {
-        if token < self.highest_token || !self.servers[index].running {
-            return false;
-        }
-        self.highest_token = token;
-        if self.servers[index].leads {
-            return true;
-        }
-        let kept: BTreeSet<u64> = self.servers[index].log.iter().map(|e| e.number).collect();
-        let lost: Vec<&u64> = self.acknowledged.difference(&kept).collect();
-        assert!(
-            lost.is_empty(),
-            "s{index} is promoted without the commits {lost:?}"
-        );
-        let term = self
-            .servers
-            .iter()
-            .map(|server| server.term)
-            .max()
-            .unwrap_or(0)
-            + 1;
-        self.last_leader = index;
-        for (other, server) in self.servers.iter_mut().enumerate() {
-            server.leads = other == index;
-            server.paused = 0;
-            if server.leads {
-                server.term = term;
-            }
-        }
-        self.replicate();
-        true
-    }
-
     /// What a leader that reaches every server takes the state of the primary for.
     fn true_verdict(&self) -> Verdict {
         let primary = self.registry.primary(SERVICE);
