--- a/components/coordinator/src/leadership.rs
+++ b/components/coordinator/src/leadership.rs
@@ -329,13 +329,14 @@
             let log_at = log_at.or_insert(started_at + WAIT_LOG_INTERVAL);
             if *log_at <= now {
                 *log_at = now + WAIT_LOG_INTERVAL;
-                let missing = machine.missing(registry, is_identified);
-                tracing::warn!(
-                    service,
-                    ?missing,
-                    ms = now.saturating_duration_since(started_at).as_millis(),
-                    "change of primary waits for the old primary or the missing servers"
-                );
+                if let Some(missing) = machine.missing(registry, is_identified) {
+                    tracing::warn!(
+                        service,
+                        ?missing,
+                        ms = now.saturating_duration_since(started_at).as_millis(),
+                        "change of primary waits for the old primary or the missing servers"
+                    );
+                }
             }
         }
         out.extend(
--- a/components/registry/src/failover.rs
+++ b/components/registry/src/failover.rs
@@ -107,16 +107,17 @@
     }
 
     /// Ids of the servers that keep a change of primary waiting: their answer, or that of the old
-    /// primary, is needed to know which commits were acknowledged.
+    /// primary, is needed to know which commits were acknowledged. `None` if no choice is due; empty
+    /// if only the old primary can have the commits.
     #[must_use]
     pub fn missing(
         &self,
         registry: &Registry,
         is_identified: impl Fn(&str) -> bool,
-    ) -> Vec<String> {
+    ) -> Option<Vec<String>> {
         match &self.phase {
-            Phase::Gather(gather) => gather.missing(&self.service, registry, is_identified),
-            _ => Vec::new(),
+            Phase::Gather(gather) => Some(gather.missing(&self.service, registry, is_identified)),
+            _ => None,
         }
     }
 
