Read tenants from the plan and publish them as digests

Cause: plan documents with tenants were accepted, and their tenants ignored.

The formats of messages and settings gain what the parts of docs/design/tenants.md need. The version of messages is 2, and that of loans 3.

--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -15,3 +15,6 @@
 pub const LOAN_PATH: &str = "/v1/loan";
 /// HTTP path of streams between the members of a cluster of control instances or coordinators.
 pub const PEER_PATH: &str = "/v1/peer";
+/// HTTP path of streams on which entries claim the tokens of rate limits from the leader of the
+/// coordinators.
+pub const RATE_PATH: &str = "/v1/rate";
--- a/components/registry/src/delta.rs
+++ b/components/registry/src/delta.rs
@@ -6,6 +6,7 @@
 use anyhow::{Result, ensure};
 
 use crate::plan::{Freshness, Plan, Route, Service};
+use crate::tenant::{Digest, Rate, Tenant};
 
 impl Plan {
     /// The delta that turns `base` into this plan.
@@ -23,6 +24,10 @@
                 sync_replicas: service.sync_replicas,
             })
         };
+        let tenant = |(name, tenant): (&String, &Tenant)| {
+            let changed = base.tenants.get(name) != Some(tenant);
+            changed.then(|| encode_tenant(name, tenant))
+        };
         wire::PlanChange {
             base: base.version,
             version: self.version,
@@ -31,13 +36,16 @@
             removed_routes: removed_keys(&base.routes, &self.routes),
             removed_services: removed_keys(&base.services, &self.services),
             idle_limit_ms: self.idle_limit.map(millis),
+            tenants: self.tenants.iter().filter_map(tenant).collect(),
+            removed_tenants: removed_keys(&base.tenants, &self.tenants),
         }
     }
 
     /// Applies a delta. Returns false if this plan is already as new.
     ///
     /// # Errors
-    /// Fails if the delta has another base version or a route names an unknown service.
+    /// Fails if the delta has another base version, a route names an unknown service or a digest of
+    /// a key is invalid.
     pub fn apply(&mut self, change: wire::PlanChange) -> Result<bool> {
         if change.version <= self.version {
             return Ok(false);
@@ -59,6 +67,13 @@
         for name in &change.removed_services {
             next.services.remove(name);
         }
+        for name in &change.removed_tenants {
+            next.tenants.remove(name);
+        }
+        for raw in change.tenants {
+            let (name, tenant) = decode_tenant(raw)?;
+            next.tenants.insert(name, tenant);
+        }
         for raw in change.services {
             let service = Service {
                 connections: raw.connections,
@@ -106,6 +121,7 @@
         timeout_ms: millis(route.timeout),
         goal_ms: millis(route.goal),
         priority: route.priority,
+        public: route.public,
     }
 }
 
@@ -120,6 +136,34 @@
         timeout: Duration::from_millis(raw.timeout_ms),
         goal: Duration::from_millis(raw.goal_ms),
         priority: raw.priority,
+        public: raw.public,
     };
     (raw.name, route)
 }
+
+fn encode_tenant(name: &str, tenant: &Tenant) -> wire::Tenant {
+    let digest = |digest: &Digest| digest.as_bytes().to_vec().into();
+    wire::Tenant {
+        name: name.to_owned(),
+        digests: tenant.keys.iter().map(digest).collect(),
+        rate: tenant.rate.map(|rate| wire::Rate {
+            per_second_milli: rate.per_second_milli,
+            burst_milli: rate.burst_milli,
+        }),
+    }
+}
+
+fn decode_tenant(raw: wire::Tenant) -> Result<(String, Tenant)> {
+    let digests = raw.digests.iter();
+    let keys: Result<_> = digests
+        .map(|digest| Digest::try_from(digest.as_slice()))
+        .collect();
+    let tenant = Tenant {
+        keys: keys?,
+        rate: raw.rate.map(|rate| Rate {
+            per_second_milli: rate.per_second_milli,
+            burst_milli: rate.burst_milli,
+        }),
+    };
+    Ok((raw.name, tenant))
+}
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod sample;
 pub mod server;
 pub mod state;
+pub mod tenant;
 
 pub use failover::Machine;
 pub use history::History;
@@ -16,3 +17,4 @@
 pub use sample::Sample;
 pub use server::{Life, Server};
 pub use state::{Order, Outcome, Registry};
+pub use tenant::Tenant;
--- a/components/registry/src/plan.rs
+++ b/components/registry/src/plan.rs
@@ -5,6 +5,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::tenant::Tenant;
+
 /// How old the data may be that reads of a route see.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Freshness {
@@ -39,6 +41,8 @@
     pub goal: Duration,
     /// Queue priority; 0 is served first.
     pub priority: u8,
+    /// Sessions need no key of a tenant.
+    pub public: bool,
 }
 
 /// A primary with its replicas.
@@ -59,6 +63,8 @@
     pub routes: BTreeMap<String, Route>,
     /// Services by name. Invariant: contains every service that a route names.
     pub services: BTreeMap<String, Service>,
+    /// Tenants by name. Invariant: no two share a key.
+    pub tenants: BTreeMap<String, Tenant>,
     /// Time after which an idle transaction is ended; `None` for no limit.
     pub idle_limit: Option<Duration>,
 }
--- a/components/registry/tests/delta.rs
+++ b/components/registry/tests/delta.rs
@@ -12,6 +12,7 @@
         timeout: Duration::from_millis(timeout_ms),
         goal: Duration::from_millis(200),
         priority: 2,
+        public: true,
     }
 }
 
--- a/components/settings/src/coordinator.rs
+++ b/components/settings/src/coordinator.rs
@@ -35,11 +35,36 @@
     pub tolerated: usize,
     /// Address that receives promotion commands.
     pub promoter: SocketAddr,
+    pub rate_limit: RateLimit,
     /// Timeout of a graceful stop.
     pub stop_timeout: Duration,
     pub log: Log,
 }
 
+/// How rate limits of tenants are shared between entries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RateLimit {
+    /// How long entries may keep unspent tokens.
+    pub window: Duration,
+    /// Operations beyond a tenant's burst that are tolerated.
+    pub slack: u64,
+}
+
+impl From<raw::RateLimit> for RateLimit {
+    fn from(raw: raw::RateLimit) -> Self {
+        Self {
+            window: Duration::from_secs_f64(raw.window_s),
+            slack: raw.slack.unsigned_abs(),
+        }
+    }
+}
+
+impl Default for RateLimit {
+    fn default() -> Self {
+        raw::RateLimit::default().into()
+    }
+}
+
 impl Kind for Coordinator {
     type Raw = raw::Coordinator;
     const SCHEMA: &'static str = include_str!("../../../schema/settings/coordinator.json");
@@ -69,6 +94,7 @@
             founding: raw.founding,
             tolerated: convert("/tolerated", raw.tolerated)?,
             promoter: parse_address("/promoter", &raw.promoter)?,
+            rate_limit: raw.rate_limit.map_or_else(RateLimit::default, Into::into),
             stop_timeout: Duration::from_secs_f64(raw.stop_timeout_s),
             log: raw.log.into(),
         })
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -31,12 +31,12 @@
 }
 
 pub use control::{Control, Member};
-pub use coordinator::Coordinator;
+pub use coordinator::{Coordinator, RateLimit};
 pub use entry::{Caller, Entry, Key};
 pub use file::{Kind, Ports, load, load_with, parse};
 pub use finding::{Finding, Report};
 pub use log::{Format, Level, Log};
-pub use proxy::Proxy;
+pub use proxy::{Keys, Proxy};
 pub use schema::{Invalid, Schema};
 pub use secret::Secret;
 pub use standin::Standin;
--- a/components/settings/src/proxy.rs
+++ b/components/settings/src/proxy.rs
@@ -33,11 +33,35 @@
     pub max_callers: usize,
     /// Maximum size of a message from a caller or a server, in bytes.
     pub max_message: usize,
+    pub keys: Keys,
     /// Timeout of a graceful stop.
     pub stop_timeout: Duration,
     pub log: Log,
 }
 
+/// How long the keys of tenants hold without contact with a leader of the coordinators.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Keys {
+    /// Whether keys are served only while a leader has been in contact within `contact_timeout`.
+    pub require_contact: bool,
+    pub contact_timeout: Duration,
+}
+
+impl From<raw::Keys> for Keys {
+    fn from(raw: raw::Keys) -> Self {
+        Self {
+            require_contact: raw.require_contact,
+            contact_timeout: Duration::from_millis(raw.contact_timeout_ms.unsigned_abs()),
+        }
+    }
+}
+
+impl Default for Keys {
+    fn default() -> Self {
+        raw::Keys::default().into()
+    }
+}
+
 impl Kind for Proxy {
     type Raw = raw::Proxy;
     const SCHEMA: &'static str = include_str!("../../../schema/settings/proxy.json");
@@ -66,6 +90,7 @@
             seeds: seed_link_addresses(raw.seeds.iter().map(|seed| seed.as_str()), link_port)?,
             max_callers: convert("/max_callers", raw.max_callers.get())?,
             max_message: convert("/max_message_bytes", raw.max_message_bytes)?,
+            keys: raw.keys.map_or_else(Keys::default, Into::into),
             stop_timeout: Duration::from_secs_f64(raw.stop_timeout_s),
             log: raw.log.into(),
         })
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -250,6 +250,7 @@
     pub timeout_ms: u64,
     pub goal_ms: u64,
     pub priority: u8,
+    pub public: bool,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -258,6 +259,17 @@
     pub sync_replicas: u32,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Rate {
+    pub per_second_milli: u64,
+    pub burst_milli: u64,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Tenant {
+    pub name: String,
+    pub digests: Vec<Bytes>,
+    pub rate: Option<Rate>,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct PlanChange {
     pub base: u64,
     pub version: u64,
@@ -266,6 +278,8 @@
     pub removed_routes: Vec<String>,
     pub removed_services: Vec<String>,
     pub idle_limit_ms: Option<u64>,
+    pub tenants: Vec<Tenant>,
+    pub removed_tenants: Vec<String>,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Ended {
@@ -314,7 +328,7 @@
 pub enum Publish {
     Snapshot(Registry),
     Update { revision: u64, order: Order },
-    Pulse { current: bool, entries: u32, coordinators: Vec<String> },
+    Pulse { current: bool, entries: u32, coordinators: Vec<String>, leader: String },
     Samples(Samples),
     Entries(Vec<Neighbour>),
     Plan(PlanChange),
@@ -384,6 +398,30 @@
     Leave,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Need {
+    pub tenant: String,
+    pub held: u32,
+    pub waiting: u32,
+    pub ahead: u32,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Claim {
+    pub number: u64,
+    pub received: u64,
+    pub needs: Vec<Need>,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    pub tenant: String,
+    pub tokens: u32,
+    pub retry_in_ms: u32,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Issue {
+    pub number: u64,
+    pub grants: Vec<Grant>,
+}
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Peer {
     pub from: String,
     pub disk: u64,
@@ -393,7 +431,7 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Borrow {
     Open { version: u32, instance: String },
-    Ask { loan: u64, server: String, rank: u8, start_in_ms: u32 },
+    Ask { loan: u64, server: String, rank: u8, start_in_ms: u32, tenant: String },
     Send { loan: u64, bytes: Bytes },
     Return { loan: u64, clean: bool },
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -14,11 +14,11 @@
 pub use generated::*;
 
 /// Version of the message format; a process with another version is rejected.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 
 /// Version of the messages between entries that lend connections. An entry opens its own connections
 /// where the others have another version.
-pub const LOAN_VERSION: u32 = 2;
+pub const LOAN_VERSION: u32 = 3;
 
 /// Maximum size of an encoded message. Bounds the memory that a faulty or hostile peer can make a
 /// process allocate.
