Tell tenants by the keys of their callers

Cause: any word opened a session, and a withdrawn key stayed in use.

Change: the key of a startup message decides the tenant, by digest and again for each transaction. An unknown key waits for two pulses of a coordinator in contact with the leader and is then denied; a withdrawn one ends idle sessions and is denied at the next transaction. With keys.require_contact keys hold only while a leader was in contact lately. Plans without tenants behave as before.

--- a/components/coordinator/src/requests.rs
+++ b/components/coordinator/src/requests.rs
@@ -77,6 +77,15 @@
         (now < at + MAX_CONTACT_AGE).then(|| leader.as_str())
     }
 
+    /// Link address of the leader, if this instance leads or is in contact with the one that does.
+    fn leader_address(&self, now: Instant) -> Option<std::net::SocketAddr> {
+        if self.leadership.is_some() {
+            return Some(self.settings.link);
+        }
+        let leader = self.roster.introduction_of(self.leader_contact(now)?)?;
+        Some(leader.address)
+    }
+
     /// Whether this instance knows all but the most recent commits.
     fn is_current(&self, now: Instant) -> bool {
         match self.node.role() {
@@ -380,6 +389,9 @@
             current: self.is_current(now),
             entries: u32::try_from(entries).unwrap_or(u32::MAX),
             coordinators: coordinators.iter().map(ToString::to_string).collect(),
+            leader: self
+                .leader_address(now)
+                .map_or_else(String::new, |leader| leader.to_string()),
         };
         self.subscribers.publish(&pulse);
     }
--- a/components/proxy/src/borrow.rs
+++ b/components/proxy/src/borrow.rs
@@ -251,6 +251,7 @@
             server: self.servers[index].id.clone(),
             rank: urgency.rank,
             start_in_ms: u32::try_from(start_in.as_millis()).unwrap_or(u32::MAX),
+            tenant: String::new(),
         };
         if !self.lenders.send(address, request) {
             self.on_lender_lost(now, address, CAUSE_LENDER_LOST);
--- a/components/proxy/src/caller.rs
+++ b/components/proxy/src/caller.rs
@@ -84,6 +84,7 @@
 
     /// Removes the session of a caller that has disconnected, and rolls back its transaction.
     pub(crate) fn remove_session(&mut self, now: Instant, key: SessionKey) {
+        self.unconfirmed.remove(key);
         self.roll_back_on_server(now, key);
         let Some(session) = self.sessions.remove(key) else {
             return;
@@ -100,7 +101,7 @@
             let Some(session) = self.sessions.get_mut(key) else {
                 return;
             };
-            if session.query.is_some() || session.closing {
+            if session.query.is_some() || session.closing || self.unconfirmed.contains(key) {
                 return;
             }
             let inbox = session.inbox.split().freeze();
@@ -146,22 +147,10 @@
         };
         match request {
             Request::Terminate => self.remove_session(now, key),
-            Request::Startup { database } if session.database.is_none() => {
-                if self.plan.routes.contains_key(database) {
-                    session.database = Some(database.to_owned());
-                    P::encode_ready(&mut session.out, State::Idle, None);
-                    self.dirty_sessions.push(key);
-                    return;
-                }
-                let reason = if self.plan.version == 0 {
-                    Reason::NoPrimary
-                } else {
-                    Reason::NoDatabase
-                };
-                self.metrics.common.refusals.add(reason.label());
-                P::encode_error(&mut session.out, reason.code(), reason.text());
-                self.end_session(key);
-            }
+            Request::Startup {
+                database,
+                key: caller_key,
+            } if session.digest.is_none() => self.on_startup(now, key, database, caller_key),
             Request::Query {
                 id,
                 text,
@@ -275,23 +264,39 @@
         number
     }
 
-    /// The route of the session's database in the current plan.
-    fn route(&self, key: SessionKey) -> Option<Route> {
-        let session = self.sessions.get(key)?;
-        let route = self.plan.routes.get(session.database.as_ref()?)?;
-        Some(Route {
-            service: *self.service_indices.get(&route.service)?,
+    /// The route of the session's database in the current plan, and the tenant of its caller.
+    ///
+    /// # Errors
+    /// Returns why the session may not begin an operation.
+    fn route(&self, key: SessionKey) -> Result<Route, Reason> {
+        let session = self.sessions.get(key).ok_or(Reason::NoDatabase)?;
+        let database = session.database.as_deref().ok_or(Reason::NoDatabase)?;
+        let tenant = self.tenant(key, database)?;
+        let route = self.plan.routes.get(database).ok_or(Reason::NoDatabase)?;
+        let service = self.service_indices.get(&route.service);
+        Ok(Route {
+            service: *service.ok_or(Reason::NoDatabase)?,
             freshness: route.freshness,
             timeout: route.timeout,
             goal: route.goal,
             priority: route.priority,
+            tenant,
         })
     }
 
+    /// Rejects the start of an operation. A session whose key was withdrawn ends.
+    fn reject_operation(&mut self, key: SessionKey, reason: Reason) {
+        self.reject(key, reason);
+        if reason == Reason::KeyUnknown {
+            self.end_session(key);
+        }
+    }
+
     /// Begins a transaction. A server is chosen at its first statement.
     fn begin(&mut self, key: SessionKey, read_only: bool) {
-        let Some(route) = self.route(key) else {
-            return self.reject(key, Reason::NoDatabase);
+        let route = match self.route(key) {
+            Ok(route) => route,
+            Err(reason) => return self.reject_operation(key, reason),
         };
         let received_moment = self.clock.moment();
         if let Some(session) = self.sessions.get_mut(key) {
@@ -337,11 +342,11 @@
         {
             return self.fail_assumed_read_only(now, key);
         }
-        let route = transaction
-            .map(|transaction| transaction.route)
-            .or_else(|| self.route(key));
-        let Some(route) = route else {
-            return self.reject(key, Reason::NoDatabase);
+        let route =
+            transaction.map_or_else(|| self.route(key), |transaction| Ok(transaction.route));
+        let route = match route {
+            Ok(route) => route,
+            Err(reason) => return self.reject_operation(key, reason),
         };
         let received_moment = self.clock.moment();
         let wait_limit = self.wait_limit(now, &route);
--- a/components/proxy/src/connection.rs
+++ b/components/proxy/src/connection.rs
@@ -91,7 +91,7 @@
         conn.handle = Some(io::spawn(socket, Default::default(), events, wrap));
         let server = &self.servers[conn.server];
         let service = &self.services[server.service].name;
-        P::encode_startup(&mut conn.out, service, &server.id);
+        P::encode_startup(&mut conn.out, service, None, &server.id);
         self.dirty_conns.push(key);
     }
 
--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -268,6 +268,9 @@
     /// Handles a session's timer: the end of a retry delay or of the wait, a missing answer, or an
     /// idle transaction.
     pub(crate) fn on_session_due(&mut self, now: Instant, key: SessionKey) {
+        if self.on_confirmation_due(now, key) {
+            return;
+        }
         let Some(session) = self.sessions.get_mut(key) else {
             return;
         };
--- /dev/null
+++ b/components/proxy/src/identity.rs
@@ -0,0 +1,201 @@
+//! Decides from the key of a session which tenant its caller belongs to.
+//!
+//! The key is looked up again for each transaction, so that a withdrawn key ends with the next plan.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use clock::{Clock, Moment};
+use registry::tenant::Digest;
+
+use crate::event::SessionKey;
+use crate::process::Loop;
+use crate::protocol::{Protocol, State};
+use crate::refuse::Reason;
+use crate::tenant;
+use crate::timer::Timer;
+
+/// Pulses of a coordinator in contact with the leader after which its plan is known to be in force
+/// here: the first one may have been sent before the unknown key was presented.
+const CONFIRMING_PULSES: u8 = 2;
+/// How long a session with an unknown key waits for these pulses. Callers give up after 2 s.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(1);
+/// Number of sessions that wait for the confirmation of their keys. A flood of invalid keys must not
+/// hold the sessions of this proxy.
+const MAX_UNCONFIRMED: usize = 256;
+/// A coordinator reports contact with the leader for up to this time after the contact.
+const CONTACT_MARGIN: Duration = Duration::from_millis(1200);
+
+/// A session whose key is unknown so far.
+#[derive(Debug)]
+struct Confirmation {
+    database: String,
+    /// Further pulses that are needed.
+    pulses: u8,
+    /// When the session is refused if they have not arrived.
+    deadline: Instant,
+}
+
+/// Sessions that wait until their keys are confirmed or denied.
+#[derive(Debug, Default)]
+pub struct Unconfirmed(BTreeMap<SessionKey, Confirmation>);
+
+impl Unconfirmed {
+    #[must_use]
+    pub fn contains(&self, key: SessionKey) -> bool {
+        self.0.contains_key(&key)
+    }
+
+    pub fn remove(&mut self, key: SessionKey) {
+        self.0.remove(&key);
+    }
+}
+
+impl<P: Protocol, C: Clock> Loop<P, C> {
+    /// Answers the startup message of a session.
+    pub(crate) fn on_startup(&mut self, now: Instant, key: SessionKey, database: &str, text: &str) {
+        let Some(session) = self.sessions.get_mut(key) else {
+            return;
+        };
+        session.digest = Some(Digest::of(text));
+        if self.plan.version == 0 {
+            return self.deny(key, Reason::NoPrimary);
+        }
+        match self.tenant(key, database) {
+            Ok(_) => self.open_session(key, database),
+            Err(Reason::KeyUnknown) if self.unconfirmed.0.len() < MAX_UNCONFIRMED => {
+                let deadline = now + CONFIRMATION_TIMEOUT;
+                let confirmation = Confirmation {
+                    database: database.to_owned(),
+                    pulses: CONFIRMING_PULSES,
+                    deadline,
+                };
+                self.unconfirmed.0.insert(key, confirmation);
+                self.timers.add(deadline, Timer::Session(key));
+            }
+            Err(reason) => self.deny(key, reason),
+        }
+    }
+
+    /// The tenant of a session's caller for a database; `None` if the route is public and no tenant
+    /// holds the key.
+    ///
+    /// # Errors
+    /// Returns why the caller may not use the database.
+    pub(crate) fn tenant(
+        &self,
+        key: SessionKey,
+        database: &str,
+    ) -> Result<Option<tenant::Id>, Reason> {
+        let route = self.plan.routes.get(database).ok_or(Reason::NoDatabase)?;
+        let digest = self.sessions.get(key).and_then(|session| session.digest);
+        let holder = digest.and_then(|digest| self.directory.holder(&digest));
+        if route.public {
+            return Ok(holder);
+        }
+        if !self.keys_hold(self.clock.moment()) {
+            return Err(Reason::KeyUnconfirmed);
+        }
+        holder.map(Some).ok_or(Reason::KeyUnknown)
+    }
+
+    /// Whether the keys of the plan may still be served.
+    pub(crate) fn keys_hold(&self, moment: Moment) -> bool {
+        let keys = self.settings.keys;
+        let limit = keys.contact_timeout.saturating_sub(CONTACT_MARGIN);
+        let last_contact = self.subscription.last_contact();
+        !keys.require_contact || last_contact.is_some_and(|at| moment.since(at) < limit)
+    }
+
+    fn open_session(&mut self, key: SessionKey, database: &str) {
+        if let Some(session) = self.sessions.get_mut(key) {
+            session.database = Some(database.to_owned());
+            P::encode_ready(&mut session.out, State::Idle, None);
+            self.dirty_sessions.push(key);
+            self.ready_sessions.push(key);
+        }
+    }
+
+    /// Refuses a session that has not begun.
+    fn deny(&mut self, key: SessionKey, reason: Reason) {
+        self.metrics.common.refusals.add(reason.label());
+        if let Some(session) = self.sessions.get_mut(key) {
+            P::encode_error(&mut session.out, reason.code(), reason.text());
+        }
+        self.end_session(key);
+    }
+
+    /// Looks the keys of waiting sessions up again after a pulse of a coordinator that is in contact
+    /// with the leader.
+    pub(crate) fn confirm_keys(&mut self) {
+        for confirmation in self.unconfirmed.0.values_mut() {
+            confirmation.pulses = confirmation.pulses.saturating_sub(1);
+        }
+        self.admit_unconfirmed();
+    }
+
+    /// Opens the waiting sessions whose keys are known by now, and denies those whose keys are
+    /// confirmed to be unknown.
+    fn admit_unconfirmed(&mut self) {
+        let sessions: Vec<SessionKey> = self.unconfirmed.0.keys().copied().collect();
+        for key in sessions {
+            let Some(confirmation) = self.unconfirmed.0.get(&key) else {
+                continue;
+            };
+            let database = confirmation.database.clone();
+            let is_final = confirmation.pulses == 0;
+            match self.tenant(key, &database) {
+                Ok(_) => {
+                    self.unconfirmed.remove(key);
+                    self.open_session(key, &database);
+                }
+                Err(reason) if is_final => {
+                    self.unconfirmed.remove(key);
+                    self.deny(key, reason);
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Refuses a session whose key could not be confirmed in time. Returns false if the session does
+    /// not wait for that.
+    pub(crate) fn on_confirmation_due(&mut self, now: Instant, key: SessionKey) -> bool {
+        let Some(confirmation) = self.unconfirmed.0.get(&key) else {
+            return false;
+        };
+        if now >= confirmation.deadline {
+            self.unconfirmed.remove(key);
+            self.deny(key, Reason::KeyUnconfirmed);
+        }
+        true
+    }
+
+    /// Applies a new plan to the sessions: closes idle ones whose keys were withdrawn. Others are
+    /// refused at their next transaction.
+    pub(crate) fn on_plan_changed(&mut self) {
+        self.directory.update(&self.plan);
+        self.admit_unconfirmed();
+        let is_withdrawn = |key: &SessionKey| {
+            let session = self.sessions.get(*key);
+            let database = session.and_then(|session| session.database.as_deref());
+            let session_tenant = database.map(|database| self.tenant(*key, database));
+            matches!(session_tenant, Some(Err(Reason::KeyUnknown)))
+        };
+        let withdrawn: Vec<SessionKey> = self.sessions.keys().filter(is_withdrawn).collect();
+        if withdrawn.is_empty() {
+            return;
+        }
+        tracing::info!(
+            sessions = withdrawn.len(),
+            plan = self.plan.version,
+            "keys of open sessions were withdrawn"
+        );
+        for key in withdrawn {
+            self.metrics.common.refusals.add("key_withdrawn");
+            if self.sessions.get(key).is_some_and(|s| s.is_idle()) {
+                self.end_session(key);
+            }
+        }
+    }
+}
--- a/components/proxy/src/lend.rs
+++ b/components/proxy/src/lend.rs
@@ -92,6 +92,7 @@
                 server,
                 rank,
                 start_in_ms,
+                tenant: _,
             } => {
                 let start_by = now + Duration::from_millis(start_in_ms.into());
                 self.on_loan_requested(now, Waiter { stream, loan }, &server, (rank, start_by));
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod freshness;
 pub mod lenders;
 pub mod protocol;
+pub mod tenant;
 
 mod answer;
 mod borrow;
@@ -19,6 +20,7 @@
 mod endpoint;
 mod event;
 mod failure;
+mod identity;
 mod lend;
 mod loan;
 mod log_limit;
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -16,6 +16,7 @@
 
 use crate::borrow::Lenders;
 use crate::event::{ConnKey, Event, SessionKey};
+use crate::identity::Unconfirmed;
 use crate::lend::Borrowers;
 use crate::log_limit::Limiter;
 use crate::metrics::Set;
@@ -25,6 +26,7 @@
 use crate::session::Session;
 use crate::stop::Stop;
 use crate::subscribe::Subscription;
+use crate::tenant::Directory;
 use crate::timer::{Timer, Timers};
 use clock::Clock;
 
@@ -59,6 +61,9 @@
     /// The registry, the plan or the neighbours have changed in this turn.
     pub(crate) registry_changed: bool,
     pub(crate) plan: Plan,
+    /// Tenants of the plan, and of earlier ones.
+    pub(crate) directory: Directory,
+    pub(crate) unconfirmed: Unconfirmed,
     pub(crate) sessions: SlotMap<SessionKey, Session>,
     pub(crate) conns: SlotMap<ConnKey, Conn>,
     /// Servers. The index of a server stays valid after it has been removed.
@@ -198,6 +203,8 @@
             registry: Registry::default(),
             registry_changed: false,
             plan: Plan::default(),
+            directory: Directory::default(),
+            unconfirmed: Unconfirmed::default(),
             sessions: SlotMap::with_key(),
             conns: SlotMap::with_key(),
             servers: Vec::new(),
--- a/components/proxy/src/protocol.rs
+++ b/components/proxy/src/protocol.rs
@@ -53,7 +53,11 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Request<'a> {
     /// Opens a session.
-    Startup { database: &'a str },
+    Startup {
+        database: &'a str,
+        /// Key of the caller's tenant, or any text where none is needed.
+        key: &'a str,
+    },
     /// A statement.
     Query {
         /// The caller's id of the attempt.
@@ -103,6 +107,8 @@
     Unknown,
     /// The database does not exist.
     NoDatabase,
+    /// No tenant holds the caller's key.
+    Denied,
     /// A message is too large, or a session has too many variables or prepared names.
     TooLarge,
     /// The message is invalid, or not allowed in the state of the session.
@@ -136,6 +142,7 @@
             Self::Timeout => "timeout",
             Self::Unknown => "unknown",
             Self::NoDatabase => "no_database",
+            Self::Denied => "denied",
             Self::TooLarge => "too_large",
             Self::Malformed => "malformed",
             Self::Other => "other",
@@ -245,8 +252,9 @@
         max_bytes: usize,
     ) -> Result<Option<(usize, Answer<'_>)>, Invalid>;
 
-    /// Encodes the message that opens a connection to the server `id` of a service.
-    fn encode_startup(out: &mut BytesMut, service: &str, id: &str);
+    /// Encodes the message that opens a connection to the server `id` of a service, in the name of
+    /// a tenant or, without one, of the proxy itself.
+    fn encode_startup(out: &mut BytesMut, service: &str, tenant: Option<&str>, id: &str);
 
     /// Encodes a command of the proxy itself.
     fn encode_command(out: &mut BytesMut, command: Command<'_>);
--- a/components/proxy/src/refuse.rs
+++ b/components/proxy/src/refuse.rs
@@ -24,6 +24,10 @@
     Stopping,
     /// The plan does not contain the database.
     NoDatabase,
+    /// No tenant of the plan holds the caller's key.
+    KeyUnknown,
+    /// Whether a tenant holds the caller's key can't be told without a coordinator.
+    KeyUnconfirmed,
     /// The message is invalid, or not allowed in the state of the session.
     Malformed,
     /// A message is too large, or the session has too many variables or prepared names.
@@ -53,6 +57,8 @@
             Self::Exhausted => "exhausted",
             Self::Stopping => "stopping",
             Self::NoDatabase => "no_database",
+            Self::KeyUnknown => "key_unknown",
+            Self::KeyUnconfirmed => "key_unconfirmed",
             Self::Malformed => "malformed",
             Self::TooLarge => "too_large",
             Self::NotPrepared => "not_prepared",
@@ -72,8 +78,10 @@
             | Self::QueueFull
             | Self::NoPrimary
             | Self::Exhausted
+            | Self::KeyUnconfirmed
             | Self::Stopping => Code::Busy,
             Self::NoDatabase => Code::NoDatabase,
+            Self::KeyUnknown => Code::Denied,
             Self::Malformed => Code::Malformed,
             Self::TooLarge => Code::TooLarge,
             Self::NotPrepared => Code::NotPrepared,
@@ -93,6 +101,8 @@
             Self::Exhausted => "not run: no server could take it",
             Self::Stopping => "not run: this entry stops",
             Self::NoDatabase => "no such database",
+            Self::KeyUnknown => "no tenant holds this key",
+            Self::KeyUnconfirmed => "not run: the key can't be checked at present",
             Self::Malformed => "not run: the statement can't be read or does not fit here",
             Self::TooLarge => "not run: too large or too many",
             Self::NotPrepared => "not run: no such prepared statement",
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -8,10 +8,12 @@
 use link::io;
 use registry::Sample;
 use registry::plan::Freshness;
+use registry::tenant::Digest;
 use types::Point;
 
 use crate::event::ConnKey;
 use crate::protocol::{Access, Body, Code, State};
+use crate::tenant;
 use clock::Moment;
 
 /// Maximum number of variables that a session may set.
@@ -32,6 +34,8 @@
     pub goal: Duration,
     /// Rank among waiting statements; 0 goes first.
     pub priority: u8,
+    /// Tenant of the caller; `None` if the route needs none.
+    pub tenant: Option<tenant::Id>,
 }
 
 /// An open transaction.
@@ -219,6 +223,8 @@
     pub out: BytesMut,
     /// Database of the startup message; `None` before it.
     pub database: Option<String>,
+    /// Digest of the key that the startup message named.
+    pub digest: Option<Digest>,
     /// Variables that were acknowledged to the caller.
     pub variables: BTreeMap<String, String>,
     /// Numbers of the shapes of prepared statements, by name.
@@ -243,6 +249,7 @@
             inbox: BytesMut::new(),
             out: BytesMut::new(),
             database: None,
+            digest: None,
             variables: BTreeMap::new(),
             prepared: HashMap::default(),
             last_commit: None,
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -66,6 +66,8 @@
     proxy_count: u32,
     /// Until when the last pulse of a coordinator in contact with a leader counts.
     current_until: Option<Instant>,
+    /// When that pulse arrived, on the clock that also counts suspended time.
+    last_contact: Option<Moment>,
 }
 
 impl Subscription {
@@ -85,6 +87,7 @@
             complaints: Vec::new(),
             proxy_count: INITIAL_PROXY_COUNT,
             current_until: None,
+            last_contact: None,
         }
     }
 
@@ -106,6 +109,11 @@
         self.current_until.is_some_and(|until| now < until)
     }
 
+    /// When a coordinator in contact with a leader last sent a pulse.
+    pub fn last_contact(&self) -> Option<Moment> {
+        self.last_contact
+    }
+
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
     }
@@ -235,6 +243,7 @@
                 current,
                 entries,
                 coordinators,
+                leader: _,
             } => {
                 if let State::Up {
                     silence_deadline, ..
@@ -243,7 +252,9 @@
                 {
                     *silence_deadline = now + SILENCE_TIMEOUT;
                     self.subscription.current_until = Some(now + SILENCE_TIMEOUT);
+                    self.subscription.last_contact = Some(self.clock.moment());
                 }
+
                 if current && entries != 0 && entries != self.subscription.proxy_count {
                     self.subscription.proxy_count = entries;
                     self.registry_changed = true;
@@ -252,6 +263,9 @@
                     .iter()
                     .filter_map(|address| address.parse().ok());
                 self.subscription.coordinators = known.collect();
+                if current {
+                    self.confirm_keys();
+                }
             }
             Publish::Plan(change) => match self.plan.apply(change) {
                 // A coordinator that is behind sends what this proxy has already applied.
@@ -264,6 +278,7 @@
                         "new plan applied"
                     );
                     self.registry_changed = true;
+                    self.on_plan_changed();
                 }
                 Err(error) => self.on_invalid_message(now, &error),
             },
