--- a/components/proxy/src/protocol.rs
+++ b/components/proxy/src/protocol.rs
@@ -1,5 +1,7 @@
 //! Messages of callers and servers, independent of their encoding.
 
+use std::fmt;
+
 use bytes::BytesMut;
 use types::Point;
 
@@ -50,7 +52,7 @@
 }
 
 /// A message of a caller.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Eq, PartialEq)]
 pub enum Request<'a> {
     /// Opens a session.
     Startup {
@@ -71,6 +73,29 @@
     Terminate,
 }
 
+impl fmt::Debug for Request<'_> {
+    /// Shows no key.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Startup { database, .. } => f
+                .debug_struct("Startup")
+                .field("database", database)
+                .finish_non_exhaustive(),
+            Self::Query {
+                id,
+                text,
+                statement,
+            } => f
+                .debug_struct("Query")
+                .field("id", id)
+                .field("text", text)
+                .field("statement", statement)
+                .finish(),
+            Self::Terminate => f.write_str("Terminate"),
+        }
+    }
+}
+
 /// Transaction state of a session or of a connection to a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum State {
