Report each withdrawn session once, and by its tenant

Cause: each plan looked at all sessions and counted and logged those with withdrawn keys again, as long as they were in a transaction; the counter had 18 for one session after 18 plans. The log line named no tenant. The denied transaction counted as key_unknown. A plan that arrived while contact was required and missing closed no idle session.

Change: sessions are looked at only if keys or private routes have changed, and compared with the earlier keys. The log line names up to 8 tenants with the number of sessions of each. A denied transaction has its own reason, key_withdrawn.

Measured: counts_a_withdrawn_session_once and checks_keys_after_a_suspension failed before and pass.

--- a/components/proxy/src/caller.rs
+++ b/components/proxy/src/caller.rs
@@ -264,34 +264,6 @@
         number
     }
 
-    /// The route of the session's database in the current plan, and the tenant of its caller.
-    ///
-    /// # Errors
-    /// Returns why the session may not begin an operation.
-    fn route(&self, key: SessionKey) -> Result<Route, Reason> {
-        let session = self.sessions.get(key).ok_or(Reason::NoDatabase)?;
-        let database = session.database.as_deref().ok_or(Reason::NoDatabase)?;
-        let tenant = self.tenant(key, database)?;
-        let route = self.plan.routes.get(database).ok_or(Reason::NoDatabase)?;
-        let service = self.service_indices.get(&route.service);
-        Ok(Route {
-            service: *service.ok_or(Reason::NoDatabase)?,
-            freshness: route.freshness,
-            timeout: route.timeout,
-            goal: route.goal,
-            priority: route.priority,
-            tenant,
-        })
-    }
-
-    /// Rejects the start of an operation. A session whose key was withdrawn ends.
-    fn reject_operation(&mut self, key: SessionKey, reason: Reason) {
-        self.reject(key, reason);
-        if reason == Reason::KeyUnknown {
-            self.end_session(key);
-        }
-    }
-
     /// Begins a transaction. A server is chosen at its first statement.
     fn begin(&mut self, key: SessionKey, read_only: bool) {
         let route = match self.route(key) {
--- a/components/proxy/src/identity.rs
+++ b/components/proxy/src/identity.rs
@@ -2,6 +2,7 @@
 //!
 //! The key is looked up again for each transaction, so that a withdrawn key ends with the next plan.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,7 @@
 use crate::process::Loop;
 use crate::protocol::{Protocol, State};
 use crate::refuse::Reason;
+use crate::session::Route;
 use crate::tenant;
 use crate::timer::Timer;
 
@@ -23,6 +25,8 @@
 /// Number of sessions that wait for the confirmation of their keys. A flood of invalid keys must not
 /// hold the sessions of this proxy.
 const MAX_UNCONFIRMED: usize = 256;
+/// Number of tenants that a log line about withdrawn keys names, those with most sessions first.
+const MAX_LOGGED_TENANTS: usize = 8;
 /// A coordinator reports contact with the leader for up to this time after the contact.
 const CONTACT_MARGIN: Duration = Duration::from_millis(1200);
 
@@ -99,6 +103,39 @@
         holder.map(Some).ok_or(Reason::KeyUnknown)
     }
 
+    /// The route of the session's database in the current plan, and the tenant of its caller.
+    ///
+    /// # Errors
+    /// Returns why the session may not begin an operation.
+    pub(crate) fn route(&self, key: SessionKey) -> Result<Route, Reason> {
+        let session = self.sessions.get(key).ok_or(Reason::NoDatabase)?;
+        let database = session.database.as_deref().ok_or(Reason::NoDatabase)?;
+        let tenant = self.tenant(key, database);
+        let tenant = tenant.map_err(|reason| match reason {
+            // The key was known when the session began.
+            Reason::KeyUnknown => Reason::KeyWithdrawn,
+            other => other,
+        })?;
+        let route = self.plan.routes.get(database).ok_or(Reason::NoDatabase)?;
+        let service = self.service_indices.get(&route.service);
+        Ok(Route {
+            service: *service.ok_or(Reason::NoDatabase)?,
+            freshness: route.freshness,
+            timeout: route.timeout,
+            goal: route.goal,
+            priority: route.priority,
+            tenant,
+        })
+    }
+
+    /// Rejects the start of an operation. A session whose key was withdrawn ends.
+    pub(crate) fn reject_operation(&mut self, key: SessionKey, reason: Reason) {
+        self.reject(key, reason);
+        if reason == Reason::KeyWithdrawn {
+            self.end_session(key);
+        }
+    }
+
     /// Whether the keys of the plan may still be served.
     pub(crate) fn keys_hold(&self, moment: Moment) -> bool {
         let keys = self.settings.keys;
@@ -172,30 +209,61 @@
     }
 
     /// Applies a new plan to the sessions: closes idle ones whose keys were withdrawn. Others are
-    /// refused at their next transaction.
+    /// denied at their next transaction. Sessions are looked at only if keys have changed, because
+    /// plans may follow each other within milliseconds.
     pub(crate) fn on_plan_changed(&mut self) {
-        self.directory.update(&self.plan);
+        let earlier = self.directory.update(&self.plan);
         self.admit_unconfirmed();
-        let is_withdrawn = |key: &SessionKey| {
-            let session = self.sessions.get(*key);
-            let database = session.and_then(|session| session.database.as_deref());
-            let session_tenant = database.map(|database| self.tenant(*key, database));
-            matches!(session_tenant, Some(Err(Reason::KeyUnknown)))
-        };
-        let withdrawn: Vec<SessionKey> = self.sessions.keys().filter(is_withdrawn).collect();
-        if withdrawn.is_empty() {
+        let Some(earlier) = earlier else {
             return;
+        };
+        let keys = self.directory.keys();
+        let (mut withdrawn, mut idle) = (BTreeMap::<Option<tenant::Id>, usize>::new(), Vec::new());
+        for (key, session) in &self.sessions {
+            let Some(route) = session.database.as_deref() else {
+                continue;
+            };
+            let digest = session.digest.as_ref();
+            if session.closing || keys.admit(route, digest) {
+                continue;
+            }
+            // Sessions that outlived an earlier withdrawal were reported then.
+            if earlier.admit(route, digest) {
+                let holder = digest.and_then(|digest| earlier.holder(digest));
+                *withdrawn.entry(holder).or_default() += 1;
+            }
+            if session.is_idle() {
+                idle.push(key);
+            }
+        }
+        if !withdrawn.is_empty() {
+            self.log_withdrawn(withdrawn);
         }
+        for key in idle {
+            self.metrics
+                .common
+                .refusals
+                .add(Reason::KeyWithdrawn.label());
+            self.end_session(key);
+        }
+    }
+
+    /// Reports the number of sessions whose keys were withdrawn, by their tenants so far.
+    fn log_withdrawn(&self, withdrawn: BTreeMap<Option<tenant::Id>, usize>) {
+        let sessions: usize = withdrawn.values().sum();
+        let mut counts: Vec<_> = withdrawn.into_iter().collect();
+        counts.sort_by_key(|(_, count)| Reverse(*count));
+        let named = counts.iter().take(MAX_LOGGED_TENANTS).map(|(id, count)| {
+            // On a route that was public, a session may have had no tenant.
+            let name = id.map_or("-", |id| self.directory.name(id));
+            format!("{name}={count}")
+        });
         tracing::info!(
-            sessions = withdrawn.len(),
+            sessions,
             plan = self.plan.version,
+            tenants = named.collect::<Vec<_>>().join(" "),
+            unnamed_tenants = counts.len().saturating_sub(MAX_LOGGED_TENANTS),
             "keys of open sessions were withdrawn"
         );
-        for key in withdrawn {
-            self.metrics.common.refusals.add("key_withdrawn");
-            if self.sessions.get(key).is_some_and(|s| s.is_idle()) {
-                self.end_session(key);
-            }
-        }
     }
 }
--- a/components/proxy/src/refuse.rs
+++ b/components/proxy/src/refuse.rs
@@ -26,6 +26,8 @@
     NoDatabase,
     /// No tenant of the plan holds the caller's key.
     KeyUnknown,
+    /// A tenant held the key of an open session, but none does any more.
+    KeyWithdrawn,
     /// Whether a tenant holds the caller's key can't be told without a coordinator.
     KeyUnconfirmed,
     /// The message is invalid, or not allowed in the state of the session.
@@ -58,6 +60,7 @@
             Self::Stopping => "stopping",
             Self::NoDatabase => "no_database",
             Self::KeyUnknown => "key_unknown",
+            Self::KeyWithdrawn => "key_withdrawn",
             Self::KeyUnconfirmed => "key_unconfirmed",
             Self::Malformed => "malformed",
             Self::TooLarge => "too_large",
@@ -81,7 +84,7 @@
             | Self::KeyUnconfirmed
             | Self::Stopping => Code::Busy,
             Self::NoDatabase => Code::NoDatabase,
-            Self::KeyUnknown => Code::Denied,
+            Self::KeyUnknown | Self::KeyWithdrawn => Code::Denied,
             Self::Malformed => Code::Malformed,
             Self::TooLarge => Code::TooLarge,
             Self::NotPrepared => Code::NotPrepared,
@@ -102,6 +105,7 @@
             Self::Stopping => "not run: this entry stops",
             Self::NoDatabase => "no such database",
             Self::KeyUnknown => "no tenant holds this key",
+            Self::KeyWithdrawn => "not run: the key was withdrawn",
             Self::KeyUnconfirmed => "not run: the key can't be checked at present",
             Self::Malformed => "not run: the statement can't be read or does not fit here",
             Self::TooLarge => "not run: too large or too many",
