Answer sessions with unconfirmed keys before a stop closes them

Cause: a session that waits for the confirmation of its key counted as idle, so a planned stop or a move of sessions closed it without an answer. Its entry among the unconfirmed sessions stayed for up to 1 s.

--- a/components/proxy/src/failure.rs
+++ b/components/proxy/src/failure.rs
@@ -286,7 +286,7 @@
         if self.stop.is_some() || !self.is_cut_off(now, MOVE_SESSIONS_DELAY) {
             return;
         }
-        let idle = |key: &SessionKey| self.sessions.get(*key).is_some_and(|s| s.is_idle());
+        let idle = |key: &SessionKey| self.is_idle(*key);
         let idle: Vec<SessionKey> = self.sessions.keys().filter(idle).collect();
         let step = idle.len().div_ceil(MOVE_SESSIONS_DIVISOR);
         for key in idle.into_iter().take(step) {
--- a/components/proxy/src/identity.rs
+++ b/components/proxy/src/identity.rs
@@ -208,6 +208,20 @@
         true
     }
 
+    /// Denies the sessions that wait for the confirmation of their keys, since this proxy stops.
+    pub(crate) fn refuse_unconfirmed(&mut self) {
+        for key in std::mem::take(&mut self.unconfirmed.0).into_keys() {
+            self.deny(key, Reason::Stopping);
+        }
+    }
+
+    /// Whether closing the session interrupts nothing. A session that waits for the confirmation of
+    /// its key is owed an answer.
+    pub(crate) fn is_idle(&self, key: SessionKey) -> bool {
+        let session = self.sessions.get(key);
+        session.is_some_and(|session| session.is_idle()) && !self.unconfirmed.contains(key)
+    }
+
     /// Applies a new plan to the sessions: closes idle ones whose keys were withdrawn. Others are
     /// denied at their next transaction. Sessions are looked at only if keys have changed, because
     /// plans may follow each other within milliseconds.
--- a/components/proxy/src/stop.rs
+++ b/components/proxy/src/stop.rs
@@ -77,7 +77,8 @@
             let empty = self.sessions.is_empty() && self.borrowers.is_idle();
             stop.empty_since = empty.then(|| stop.empty_since.unwrap_or(now));
         }
-        let idle = |key: &SessionKey| self.sessions.get(*key).is_some_and(|s| s.is_idle());
+        self.refuse_unconfirmed();
+        let idle = |key: &SessionKey| self.is_idle(*key);
         for key in self.sessions.keys().filter(idle).collect::<Vec<_>>() {
             self.end_session(key);
         }
@@ -102,6 +103,7 @@
 
     /// Closes a session after the bytes that are to be sent.
     pub(crate) fn end_session(&mut self, key: SessionKey) {
+        self.unconfirmed.remove(key);
         if let Some(session) = self.sessions.get_mut(key) {
             session.closing = true;
             self.dirty_sessions.push(key);
