Report that a proxy is not ready while it may serve no key

Cause: with keys.require_contact and without contact a proxy refused all keys and stayed ready, so load balancers kept sending callers to it.

Change: it is not ready if a route requires a key and keys do not hold.

Measured: serves_keys_without_contact_unless_it_is_required failed before (200 for 503) and passes.

--- a/components/proxy/src/endpoint.rs
+++ b/components/proxy/src/endpoint.rs
@@ -31,6 +31,10 @@
         if self.plan.version == 0 {
             return Err("no plan yet");
         }
+        let requires_key = self.plan.routes.values().any(|route| !route.public);
+        if requires_key && !self.keys_hold(self.clock.moment()) {
+            return Err("keys can't be confirmed");
+        }
         // A proxy that borrows connections reaches no server before its first statement.
         let reached = |server: &Server| server.answered_at.is_some() || server.uses_lenders;
         let reached = self.servers.iter().any(reached);
