Decide which tenant gets a connection

A connection serves only the tenant in whose name it was opened, and a lender has 6 of them to a server for 85 tenants.

admission::tenancy decides for each waiting statement whether it uses, opens or replaces a connection, or waits. Queue::pop_where serves the next statement that can be served. link::io::Handle::close tells when a connection is closed, so that another one can be opened after it.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -2,6 +2,7 @@
 //! others. Decisions only, without I/O and without a clock.
 
 pub mod queue;
+pub mod tenancy;
 pub mod window;
 
 pub use queue::Queue;
--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -59,12 +59,26 @@
     /// Removes the statement that is served next: of the first rank the oldest that is in time, or
     /// the oldest if all are late.
     pub fn pop(&mut self, now: Instant) -> Option<T> {
-        let rank = self.waiters.front()?.rank;
-        let mut first_rank = self.waiters.iter().take_while(|waiter| waiter.rank == rank);
-        let position = first_rank.position(|waiter| waiter.start_by >= now);
-        self.waiters
-            .remove(position.unwrap_or(0))
-            .map(|waiter| waiter.item)
+        self.pop_where(now, |_| true)
+    }
+
+    /// Removes the statement that is served next among those for which `fits` returns true, so that
+    /// a statement that cannot be served holds up no other.
+    pub fn pop_where(&mut self, now: Instant, fits: impl Fn(&T) -> bool) -> Option<T> {
+        let mut fitting = self.waiters.iter().enumerate();
+        let (first, waiter) = fitting.find(|(_, waiter)| fits(&waiter.item))?;
+        let rank = waiter.rank;
+        let mut first_rank = self.waiters.iter();
+        let in_time = first_rank
+            .position(|waiter| waiter.rank == rank && waiter.start_by >= now && fits(&waiter.item));
+        let position = in_time.unwrap_or(first);
+        self.waiters.remove(position).map(|waiter| waiter.item)
+    }
+
+    /// The statements in the order of their ranks and arrivals, with whether each is late.
+    pub fn iter(&self, now: Instant) -> impl Iterator<Item = (&T, bool)> {
+        let waiters = self.waiters.iter();
+        waiters.map(move |waiter| (&waiter.item, waiter.start_by < now))
     }
 
     /// Keeps only the statements for which `keep` returns true.
--- a/components/link/src/io.rs
+++ b/components/link/src/io.rs
@@ -6,7 +6,7 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
 /// Maximum number of chunks in the channel to the writer task; further ones go to the backlog.
@@ -42,6 +42,8 @@
     /// Chunks that did not fit into the channel. Invariant: empty unless a task waits for room.
     backlog: VecDeque<Bytes>,
     backlog_bytes: usize,
+    /// Ends once the writer task has closed the connection.
+    closed: oneshot::Receiver<()>,
 }
 
 /// Starts the reader and writer tasks of a connection. `received` holds bytes that were read from
@@ -59,7 +61,8 @@
     let (reader, writer) = socket.into_split();
     let (out, outgoing) = mpsc::channel(MAX_QUEUED_CHUNKS);
     let (mode, modes) = mpsc::unbounded_channel();
-    spawn_local(write(writer, outgoing));
+    let (closing, closed) = oneshot::channel();
+    spawn_local(write(writer, outgoing, closing));
     spawn_local(self::read(reader, received, modes, events, wrap));
     Handle {
         out,
@@ -67,6 +70,7 @@
         paused: false,
         backlog: VecDeque::new(),
         backlog_bytes: 0,
+        closed,
     }
 }
 
@@ -116,6 +120,14 @@
         }
     }
 
+    /// Closes the connection as dropping the handle does, and waits until that has been done.
+    pub async fn close(self) {
+        let closed = self.closed;
+        drop((self.out, self.mode));
+        // The sender is dropped without a message.
+        let _dropped = closed.await;
+    }
+
     /// Size of the backlog in bytes, without the chunks in the channel.
     #[must_use]
     pub fn backlog_bytes(&self) -> usize {
@@ -139,7 +151,12 @@
     }
 }
 
-async fn write(mut socket: OwnedWriteHalf, mut outgoing: mpsc::Receiver<Bytes>) {
+/// Writes chunks until the handle is dropped. `_closing` is dropped after the connection is closed.
+async fn write(
+    mut socket: OwnedWriteHalf,
+    mut outgoing: mpsc::Receiver<Bytes>,
+    _closing: oneshot::Sender<()>,
+) {
     while let Some(bytes) = outgoing.recv().await {
         if socket.write_all(&bytes).await.is_err() {
             return;
