--- a/components/admission/tests/tenancy.rs
+++ b/components/admission/tests/tenancy.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use admission::tenancy::{Connection, Room, State, Step, Times, Waiter, decide};
-use proptest::prelude::*;
+use proptest::prelude::{any, prop, prop_assert, prop_assert_eq, proptest};
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
 use rstest::rstest;
