Open connections in the name of tenants

A server is told the tenant at the start of a connection, so a connection serves statements of one tenant only.

Own pools and lenders take, open and replace connections as admission::tenancy decides; borrowers name the tenant, and all proxies of a domain ask the same lender for it. A tenant whose statements find no connection no longer uses up the attempts of the others in a pass. Idle connections of tenants that have left the plan are closed. Without tenants the code of before decides.

--- a/components/proxy/src/answer.rs
+++ b/components/proxy/src/answer.rs
@@ -5,11 +5,11 @@
 use registry::Sample;
 use types::Point;
 
+use crate::conn::{Outcome, Purpose};
 use crate::event::{ConnKey, SessionKey};
 use crate::process::Loop;
 use crate::protocol::{Answer, Code, Protocol, State};
 use crate::refuse::Reason;
-use crate::server::{Outcome, Purpose};
 use crate::session::{Kind, Query};
 use clock::{Clock, Moment};
 
@@ -110,6 +110,7 @@
             (Purpose::Startup, _) => {
                 let server = &mut self.servers[index];
                 server.opening = server.opening.saturating_sub(1);
+                self.measure_opening(now, key);
                 self.release(now, key, false);
             }
             (Purpose::Setup, None) => {}
--- a/components/proxy/src/borrow.rs
+++ b/components/proxy/src/borrow.rs
@@ -12,12 +12,13 @@
 use tokio::task::spawn_local;
 use wire::{Borrow, Lend};
 
+use crate::conn::{Conn, Loan};
 use crate::event::{ConnKey, Event};
 use crate::lenders::{BACKUP_LENDER_COUNT, LENDER_COUNT, Neighbour, preferred, ranked};
 use crate::process::Loop;
 use crate::protocol::Protocol;
-use crate::server::{Conn, Loan};
 use crate::session::Urgency;
+use crate::tenant;
 
 /// Cause of a lost loan that says nothing about the server.
 pub const CAUSE_LENDER_LOST: &str = "lender_lost";
@@ -84,11 +85,16 @@
 
     /// The other proxies in the order in which `instance` asks them for connections of a service.
     #[must_use]
-    pub fn ask_order(&self, instance: &str, service: &str) -> Vec<SocketAddr> {
+    pub fn ask_order(
+        &self,
+        instance: &str,
+        tenant: Option<&str>,
+        service: &str,
+    ) -> Vec<SocketAddr> {
         let mut ranked = ranked(&self.neighbours, service);
         ranked.truncate(LENDER_COUNT + BACKUP_LENDER_COUNT);
         if ranked.len() >= LENDER_COUNT {
-            ranked[..LENDER_COUNT].rotate_left(preferred(instance, service));
+            ranked[..LENDER_COUNT].rotate_left(preferred(instance, tenant, service));
         }
         let others = ranked
             .iter()
@@ -155,14 +161,24 @@
     pub(crate) fn update_lenders(&mut self, index: usize) {
         let (instance, service) = (self.settings.instance.as_str(), &mut self.services[index]);
         service.lends = self.lenders.is_lender(instance, &service.name);
-        service.lenders = self.lenders.ask_order(instance, &service.name);
+        service.lenders = self.lenders.ask_order(instance, None, &service.name);
     }
 
     /// Finds a lender that can be asked for a connection of a service now, and dials lenders that
     /// are not connected.
-    fn choose_lender(&mut self, now: Instant, service: usize) -> Choice {
+    fn choose_lender(
+        &mut self,
+        now: Instant,
+        service: usize,
+        tenant: Option<tenant::Id>,
+    ) -> Choice {
         let mut choice = Choice::None;
-        for address in self.services[service].lenders.clone() {
+        let service = &self.services[service];
+        let instance = self.settings.instance.as_str();
+        let order = |name| self.lenders.ask_order(instance, Some(name), &service.name);
+        let name = tenant.map(|tenant| self.directory.name(tenant));
+        let lenders = name.map_or_else(|| service.lenders.clone(), order);
+        for address in lenders {
             let Some(lender) = self.lenders.streams.get(&address) else {
                 self.dial_lender(now, address);
                 return Choice::Dialing;
@@ -237,8 +253,14 @@
 
     /// Asks a lender for a connection to a server. Returns false if no lender is available or being
     /// dialed.
-    pub(crate) fn ask_lender(&mut self, now: Instant, index: usize, urgency: Urgency) -> bool {
-        let address = match self.choose_lender(now, self.servers[index].service) {
+    pub(crate) fn ask_lender(
+        &mut self,
+        now: Instant,
+        index: usize,
+        tenant: Option<tenant::Id>,
+        urgency: Urgency,
+    ) -> bool {
+        let address = match self.choose_lender(now, self.servers[index].service, tenant) {
             Choice::Ask(address) => address,
             Choice::Dialing => return true,
             Choice::None => return false,
@@ -251,7 +273,8 @@
             server: self.servers[index].id.clone(),
             rank: urgency.rank,
             start_in_ms: u32::try_from(start_in.as_millis()).unwrap_or(u32::MAX),
-            tenant: String::new(),
+            tenant: tenant
+                .map_or_else(String::new, |tenant| self.directory.name(tenant).to_owned()),
         };
         if !self.lenders.send(address, request) {
             self.on_lender_lost(now, address, CAUSE_LENDER_LOST);
@@ -259,6 +282,7 @@
         }
         let key = self.conns.insert(Conn::borrowed(
             index,
+            tenant,
             now,
             Loan {
                 lender: address,
@@ -337,51 +361,6 @@
         }
     }
 
-    /// Has statements that another server may run tried there; the request stays in the queue.
-    fn on_queued(&mut self, now: Instant, key: ConnKey) {
-        let Some(conn) = self.conns.get(key) else {
-            return;
-        };
-        let server = &mut self.servers[conn.server];
-        server.on_full_slots(now);
-        self.due_services.push(server.service);
-    }
-
-    fn on_granted(&mut self, now: Instant, key: ConnKey) {
-        let Some(conn) = self.conns.get_mut(key) else {
-            return;
-        };
-        let Some(loan) = &mut conn.loan else {
-            return;
-        };
-        loan.granted = true;
-        conn.used_at = now;
-        let server = &mut self.servers[conn.server];
-        server.opening = server.opening.saturating_sub(1);
-        self.release(now, key, false);
-    }
-
-    /// Sends the bytes written to a loan to its lender.
-    pub(crate) fn send_borrowed(&mut self, now: Instant, key: ConnKey) {
-        let Some(conn) = self.conns.get_mut(key) else {
-            return;
-        };
-        let Some(loan) = &conn.loan else {
-            return;
-        };
-        let lender = loan.lender;
-        if conn.out.is_empty() {
-            return;
-        }
-        let message = Borrow::Send {
-            loan: loan.number,
-            bytes: conn.out.split().to_vec().into(),
-        };
-        if !self.lenders.send(lender, message) {
-            self.on_lender_lost(now, lender, CAUSE_LENDER_LOST);
-        }
-    }
-
     /// Closes the streams of lenders that are silent although they have open loans.
     pub(crate) fn drop_silent_lenders(&mut self, now: Instant) {
         let is_silent = |lender: &Lender| {
@@ -397,7 +376,12 @@
         }
     }
 
-    fn on_lender_lost(&mut self, now: Instant, address: SocketAddr, cause: &'static str) {
+    pub(crate) fn on_lender_lost(
+        &mut self,
+        now: Instant,
+        address: SocketAddr,
+        cause: &'static str,
+    ) {
         let Some(lender) = self.lenders.streams.get_mut(&address) else {
             return;
         };
--- a/components/proxy/src/caller.rs
+++ b/components/proxy/src/caller.rs
@@ -371,6 +371,7 @@
             stage: Stage::Waiting,
             after: None,
             tried_servers: Vec::new(),
+            waits_for: None,
             retry_cause: None,
         });
         self.services[route.service].last_request_at = Some(now);
--- a/components/proxy/src/connection.rs
+++ b/components/proxy/src/connection.rs
@@ -9,11 +9,12 @@
 use tokio::time::timeout;
 use types::Point;
 
+use crate::conn::{Conn, Purpose};
 use crate::event::{ConnKey, Event, SessionKey};
 use crate::process::Loop;
 use crate::protocol::{Command, Forward, Protocol};
-use crate::server::{Conn, Purpose};
 use crate::session::{Kind, Stage, Urgency};
+use crate::tenant;
 use crate::timer::Timer;
 use clock::Clock;
 
@@ -32,25 +33,51 @@
 
 impl<P: Protocol, C: Clock> Loop<P, C> {
     /// Starts opening a connection, or asks a lender for one.
-    pub(crate) fn open(&mut self, now: Instant, index: usize, urgency: Urgency) {
+    pub(crate) fn open(
+        &mut self,
+        now: Instant,
+        index: usize,
+        tenant: Option<tenant::Id>,
+        urgency: Urgency,
+    ) {
         if !self.servers[index].uses_lenders {
-            return self.open_own(now, index);
+            return self.open_own(now, index, tenant);
         }
-        if !self.ask_lender(now, index, urgency) && self.servers[index].has_own_room(now) {
-            self.open_own(now, index);
+        if !self.ask_lender(now, index, tenant, urgency) {
+            self.open_without_lender(now, index, tenant);
         }
     }
 
     /// Starts opening a connection of this proxy's own.
-    pub(crate) fn open_own(&mut self, now: Instant, index: usize) {
+    pub(crate) fn open_own(&mut self, now: Instant, index: usize, tenant: Option<tenant::Id>) {
+        if tenant.is_some() {
+            self.metrics.tenant_connections.add("opened");
+        }
+        self.open_after(now, index, tenant, None);
+    }
+
+    /// Starts opening a connection once `old` is closed, so that the server never counts both.
+    pub(crate) fn open_after(
+        &mut self,
+        now: Instant,
+        index: usize,
+        tenant: Option<tenant::Id>,
+        old: Option<io::Handle>,
+    ) {
         let server = &mut self.servers[index];
-        let key = self.conns.insert(Conn::new(index, now));
+        let key = self.conns.insert(Conn::new(index, tenant, now));
         server.conns.push(key);
         server.opening += 1;
         self.metrics.connections_opened.inc();
         let (address, events) = (server.address, self.events.clone());
         spawn_local(async move {
-            let opened = match timeout(OPEN_TIMEOUT, TcpStream::connect(address)).await {
+            let open = async {
+                if let Some(old) = old {
+                    old.close().await;
+                }
+                TcpStream::connect(address).await
+            };
+            let opened = match timeout(OPEN_TIMEOUT, open).await {
                 Ok(opened) => opened,
                 Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
             };
@@ -91,7 +118,8 @@
         conn.handle = Some(io::spawn(socket, Default::default(), events, wrap));
         let server = &self.servers[conn.server];
         let service = &self.services[server.service].name;
-        P::encode_startup(&mut conn.out, service, None, &server.id);
+        let tenant = conn.tenant.map(|tenant| self.directory.name(tenant));
+        P::encode_startup(&mut conn.out, service, tenant, &server.id);
         self.dirty_conns.push(key);
     }
 
@@ -280,6 +308,8 @@
         let server = &mut self.servers[conn.server];
         if conn.session.take().is_some() {
             server.running = server.running.saturating_sub(1);
+            let elapsed = now.saturating_duration_since(conn.used_at);
+            server.times.on_used(elapsed);
         }
         conn.implicit_transaction = false;
         conn.used_at = now;
@@ -348,6 +378,7 @@
         for key in expired {
             self.close_conn(key);
         }
+        self.close_departed(now);
         let unanswered = self.conns.iter().filter(|(_, conn)| {
             let in_startup = conn.pending.front() == Some(&Purpose::Startup);
             let in_rollback = conn.session.is_none() && !conn.pending.is_empty();
--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::protocol::{Access, Protocol};
 use crate::refuse::Reason;
 use crate::session::{Kind, Query, Stage, Urgency};
+use crate::tenant;
 use crate::timer::Timer;
 use clock::Clock;
 
@@ -48,6 +49,7 @@
             return false;
         }
         let (service, urgency) = (query.route.service, query.urgency());
+        let tenant = query.route.tenant;
         let (index, after) = match destination {
             Destination::Bound(conn) => {
                 self.start_on(now, key, conn, None, false);
@@ -70,16 +72,29 @@
                 (index, Some(after.point))
             }
         };
-        if !self.servers[index].uses_lenders && !self.has_slot(now, index) {
+        if let Some(query) = self.sessions.get_mut(key).and_then(|s| s.query.as_mut()) {
+            query.waits_for = Some(index);
+        }
+        let uses_lenders = self.servers[index].uses_lenders;
+        if !uses_lenders && !self.has_slot(now, index) {
             return false;
         }
-        let Some(conn) = self.take_idle_conn(key, index) else {
-            self.servers[index].overcommit(now);
-            if self.servers[index].has_room(now) {
-                self.open_for_waiting(now, index, urgency);
+        let conn = if !uses_lenders && self.tells_tenants(index) {
+            self.assign_conn(now, index, key)
+        } else {
+            let conn = self.take_idle_conn(key, index);
+            if conn.is_none() {
+                self.servers[index].overcommit(now);
+                if self.servers[index].has_room(now) {
+                    self.open_for_waiting(now, index, tenant, urgency);
+                }
             }
+            conn
+        };
+        let Some(conn) = conn else {
             return false;
         };
+        self.count_reuse(conn);
         let in_transaction = self
             .sessions
             .get(key)
@@ -134,7 +149,8 @@
         let candidate = |index: &usize| {
             let primary = service.primary == Some(*index);
             let tried = query.tried_servers.contains(index);
-            self.servers[*index].candidate(*index, primary, tried, now)
+            let available = self.availability(now, *index, query.route.tenant);
+            self.servers[*index].candidate(*index, primary, tried, available, now)
         };
         service.servers.iter().map(candidate).collect()
     }
@@ -168,39 +184,61 @@
         choose(&self.candidates(now, service, query), age, now)
     }
 
-    /// Takes an idle connection, preferably one with the session's variables.
-    fn take_idle_conn(&mut self, key: SessionKey, index: usize) -> Option<ConnKey> {
-        let variables = &self.sessions.get(key)?.variables;
+    /// Takes an idle connection of the session's tenant, preferably one with the session's variables.
+    pub(crate) fn take_idle_conn(&mut self, key: SessionKey, index: usize) -> Option<ConnKey> {
+        let session = self.sessions.get(key)?;
+        let tenant = session.query.as_ref()?.route.tenant;
         let idle = &self.servers[index].idle;
+        let is_own = |conn: &ConnKey| self.conns.get(*conn).is_some_and(|c| c.tenant == tenant);
         let has_same_variables = |conn: &ConnKey| {
-            self.conns
-                .get(*conn)
-                .is_some_and(|c| c.variables == *variables)
+            let conn = self.conns.get(*conn);
+            conn.is_some_and(|c| c.tenant == tenant && c.variables == session.variables)
         };
         let position = idle
             .iter()
             .rposition(has_same_variables)
-            .or(idle.len().checked_sub(1))?;
+            .or_else(|| idle.iter().rposition(is_own))?;
         Some(self.servers[index].idle.remove(position))
     }
 
     /// Opens a connection. Once one is open, further ones are opened one at a time: an opening
     /// takes a slot of the server for as long as a short statement, and after a power loss all
     /// proxies open theirs at once.
-    fn open_for_waiting(&mut self, now: Instant, index: usize, urgency: Urgency) {
+    fn open_for_waiting(
+        &mut self,
+        now: Instant,
+        index: usize,
+        tenant: Option<tenant::Id>,
+        urgency: Urgency,
+    ) {
         let server = &self.servers[index];
-        let waiting = self.services[server.service].waiting.len() + 1;
-        let open_count = server.conns.len() - server.opening;
+        let (waiting, opening, open_count) = if self.tells_tenants(index) {
+            let (opening, open) = self.count_conns(index, tenant);
+            (self.count_waiting(server.service, tenant), opening, open)
+        } else {
+            let waiting = self.services[server.service].waiting.len();
+            (waiting, server.opening, server.conns.len() - server.opening)
+        };
+        let waiting = waiting + 1;
         let limit = if open_count == 0 || server.uses_lenders {
             waiting
         } else {
             1
         };
-        if server.opening < limit {
-            self.open(now, index, urgency);
+        if opening < limit {
+            self.open(now, index, tenant, urgency);
         }
     }
 
+    fn count_waiting(&self, service: usize, tenant: Option<tenant::Id>) -> usize {
+        let waiting = self.services[service].waiting.iter();
+        let is_tenants = |key: &&SessionKey| {
+            let query = self.sessions.get(**key).and_then(|s| s.query.as_ref());
+            query.is_some_and(|query| query.route.tenant == tenant)
+        };
+        waiting.filter(is_tenants).count()
+    }
+
     /// Queues a session's query, or refuses it.
     pub(crate) fn enqueue(&mut self, now: Instant, key: SessionKey) {
         let Some(query) = self.sessions.get_mut(key).and_then(|s| s.query.as_mut()) else {
@@ -228,25 +266,34 @@
     /// Dispatches the statements that wait for a service: by rank, within a rank those that can be
     /// answered within their goal first, and then by arrival.
     pub(crate) fn retry_waiting(&mut self, now: Instant, service: usize) {
-        let mut failures = 0;
+        // A tenant whose statements find no connection holds up no other.
+        let mut failures: Vec<(Option<tenant::Id>, usize)> = Vec::new();
         let mut waiting = std::mem::take(&mut self.services[service].waiting);
         let order = |key: &SessionKey| {
             let query = self.sessions.get(*key).and_then(|s| s.query.as_ref());
             query.map(|query| (query.urgency().order(now), query.received_at))
         };
         waiting.make_contiguous().sort_by_cached_key(order);
+        self.services[service].retrying = waiting.iter().copied().collect();
         let mut still_waiting = std::collections::VecDeque::new();
         while let Some(key) = waiting.pop_front() {
             let query = self.sessions.get(key).and_then(|s| s.query.as_ref());
-            if query.is_none_or(|query| query.stage != Stage::Waiting) {
+            let Some(query) = query.filter(|query| query.stage == Stage::Waiting) else {
                 continue;
-            }
-            let failed = failures >= MAX_FAILED_DISPATCHES || !self.dispatch(now, key);
+            };
+            let tenant = query.route.tenant;
+            let position = failures.iter().position(|(other, _)| *other == tenant);
+            let position = position.unwrap_or_else(|| {
+                failures.push((tenant, 0));
+                failures.len() - 1
+            });
+            let failed = failures[position].1 >= MAX_FAILED_DISPATCHES || !self.dispatch(now, key);
             if failed {
-                failures += 1;
+                failures[position].1 += 1;
                 still_waiting.push_back(key);
             }
         }
+        self.services[service].retrying.clear();
         // Appends statements that were queued again by a failed attempt in this pass.
         still_waiting.append(&mut self.services[service].waiting);
         self.services[service].waiting = still_waiting;
--- a/components/proxy/src/failure.rs
+++ b/components/proxy/src/failure.rs
@@ -3,12 +3,12 @@
 use std::time::{Duration, Instant};
 
 use crate::borrow::CAUSE_LENDER_LOST;
+use crate::conn::{Loan, Purpose};
 use crate::connection::CAUSE_REFUSED;
 use crate::event::{ConnKey, SessionKey};
 use crate::process::Loop;
 use crate::protocol::{Code, Command, Protocol};
 use crate::refuse::Reason;
-use crate::server::{Loan, Purpose};
 use crate::session::{Kind, Query, Stage, Urgency};
 use crate::timer::Timer;
 use clock::Clock;
@@ -251,7 +251,8 @@
             if !server.idle.is_empty() {
                 self.probe(now, primary);
             } else if server.has_room(now) {
-                self.open(now, primary, Urgency::first(now));
+                let tenant = self.directory.largest();
+                self.open(now, primary, tenant, Urgency::first(now));
             }
         }
     }
--- a/components/proxy/src/lend.rs
+++ b/components/proxy/src/lend.rs
@@ -3,15 +3,16 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use bytes::{Buf as _, BytesMut};
 use clock::Clock;
 use tokio::sync::mpsc;
 use wire::{Borrow, Lend};
 
+use crate::conn::Conn;
 use crate::event::ConnKey;
+use crate::lent::count_requests;
 use crate::process::Loop;
-use crate::protocol::{Answer, Code, Protocol};
-use crate::server::Conn;
+use crate::protocol::Protocol;
+use crate::tenant;
 use crate::timer::Timer;
 
 /// Maximum number of borrowers that wait for one server.
@@ -26,6 +27,8 @@
 pub struct Waiter {
     stream: u64,
     loan: u64,
+    /// The tenant whose statement waits at the borrower.
+    pub tenant: Option<tenant::Id>,
 }
 
 /// A proxy that borrows connections.
@@ -49,7 +52,7 @@
         self.0.values().all(|borrower| borrower.loans.is_empty())
     }
 
-    fn send(&mut self, now: Instant, stream: u64, message: Lend) {
+    pub(crate) fn send(&mut self, now: Instant, stream: u64, message: Lend) {
         if let Some(borrower) = self.0.get_mut(&stream) {
             borrower.sent_at = now;
             // A borrower that does not read closes its stream after its own timeout.
@@ -92,10 +95,23 @@
                 server,
                 rank,
                 start_in_ms,
-                tenant: _,
+                tenant: name,
             } => {
                 let start_by = now + Duration::from_millis(start_in_ms.into());
-                self.on_loan_requested(now, Waiter { stream, loan }, &server, (rank, start_by));
+                let tenant = self.directory.named_by_peer(&name);
+                if tenant.is_none() && !name.is_empty() {
+                    self.metrics.common.refusals.add("loan");
+                    let failed = false;
+                    return self
+                        .borrowers
+                        .send(now, stream, Lend::Deny { loan, failed });
+                }
+                let waiter = Waiter {
+                    stream,
+                    loan,
+                    tenant,
+                };
+                self.on_loan_requested(now, waiter, &server, (rank, start_by));
             }
             Borrow::Send { loan, bytes } => {
                 if let Some(key) = self.lent_conn(stream, loan)
@@ -125,7 +141,7 @@
         server: &str,
         (rank, start_by): (u8, Instant),
     ) {
-        let Waiter { stream, loan } = waiter;
+        let Waiter { stream, loan, .. } = waiter;
         let index = self.server_indices.get(server).copied();
         let index = index.filter(|index| {
             let server = &self.servers[*index];
@@ -147,6 +163,7 @@
             return;
         };
         borrower.loans.insert(loan, None);
+        self.servers[index].has_tenant_waiters |= waiter.tenant.is_some();
         self.servers[index].waiters.push(rank, start_by, waiter);
         self.serve_waiters(now, index);
         let waits = |borrower: &Borrower| matches!(borrower.loans.get(&loan), Some(None));
@@ -190,6 +207,9 @@
 
     /// Lends idle connections to waiting borrowers, and opens more as far as allowed.
     pub(crate) fn serve_waiters(&mut self, now: Instant, index: usize) {
+        if self.tells_tenants(index) {
+            return self.serve_tenants(now, index);
+        }
         while !self.servers[index].waiters.is_empty() {
             if !self.has_slot(now, index) {
                 return;
@@ -203,22 +223,7 @@
             let Some(waiter) = self.servers[index].waiters.pop(now) else {
                 break;
             };
-            let borrower = self.borrowers.0.get_mut(&waiter.stream);
-            let Some(loan) = borrower.and_then(|borrower| borrower.loans.get_mut(&waiter.loan))
-            else {
-                self.servers[index].idle.push(key);
-                continue;
-            };
-            *loan = Some(key);
-            if let Some(conn) = self.conns.get_mut(key) {
-                conn.lent_to = Some((waiter.stream, waiter.loan));
-                (conn.lent_pending, conn.lent_started) = (1, false);
-                conn.needs_reset = true;
-                conn.used_at = now;
-            }
-            self.servers[index].running += 1;
-            let grant = Lend::Grant { loan: waiter.loan };
-            self.borrowers.send(now, waiter.stream, grant);
+            self.lend(now, key, waiter);
         }
         let wanted = self.servers[index].waiters.len();
         while self.servers[index].opening < wanted {
@@ -231,10 +236,32 @@
             if !server.has_own_room(now) {
                 return;
             }
-            self.open_own(now, index);
+            self.open_own(now, index, None);
         }
     }
 
+    /// Lends a connection, which is no longer among the idle ones, to a borrower.
+    pub(crate) fn lend(&mut self, now: Instant, key: ConnKey, waiter: Waiter) {
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
+        let server = &mut self.servers[conn.server];
+        let borrower = self.borrowers.0.get_mut(&waiter.stream);
+        let Some(loan) = borrower.and_then(|borrower| borrower.loans.get_mut(&waiter.loan)) else {
+            server.idle.push(key);
+            return;
+        };
+        *loan = Some(key);
+        conn.lent_to = Some((waiter.stream, waiter.loan));
+        (conn.lent_pending, conn.lent_started) = (1, false);
+        conn.needs_reset = true;
+        conn.used_at = now;
+        server.running += 1;
+        let grant = Lend::Grant { loan: waiter.loan };
+        self.borrowers.send(now, waiter.stream, grant);
+        self.count_reuse(key);
+    }
+
     /// Lends the connections that this proxy's own statements have left idle.
     pub(crate) fn lend_idle(&mut self, now: Instant, service: usize) {
         for index in self.services[service].servers.clone() {
@@ -244,57 +271,6 @@
         }
     }
 
-    /// Forwards a server's bytes to the borrower of the connection. Returns false if it is not
-    /// lent.
-    pub(crate) fn forward_to_borrower(
-        &mut self,
-        now: Instant,
-        key: ConnKey,
-        bytes: &BytesMut,
-    ) -> bool {
-        let Some(conn) = self.conns.get(key) else {
-            return false;
-        };
-        let Some((stream, loan)) = conn.lent_to else {
-            return false;
-        };
-        let index = conn.server;
-        self.servers[index].on_lent_bytes(now);
-        let message = Lend::Receive {
-            loan,
-            bytes: bytes.to_vec().into(),
-        };
-        self.borrowers.send(now, stream, message);
-        self.count_lent_answers(now, key, bytes);
-        true
-    }
-
-    /// Counts the answers in a server's bytes for a borrower, and learns from them whether the server
-    /// has slots.
-    fn count_lent_answers(&mut self, now: Instant, key: ConnKey, bytes: &[u8]) {
-        let Some(conn) = self.conns.get_mut(key) else {
-            return;
-        };
-        conn.inbox.extend_from_slice(bytes);
-        let server = &mut self.servers[conn.server];
-        let was_busy = conn.lent_pending > 0;
-        while let Ok(Some((len, answer))) = P::decode_answer(&conn.inbox, self.settings.max_message)
-        {
-            match answer {
-                Answer::Ready { .. } => conn.lent_pending = conn.lent_pending.saturating_sub(1),
-                Answer::Row => server.window.on_served(),
-                Answer::Error {
-                    code: Code::Busy, ..
-                } => server.window.on_rejected(now),
-                Answer::Complete | Answer::Error { .. } => {}
-            }
-            conn.inbox.advance(len);
-        }
-        if was_busy && conn.lent_pending == 0 {
-            self.due_services.push(server.service);
-        }
-    }
-
     fn on_returned(&mut self, now: Instant, stream: u64, loan: u64, clean: bool) {
         let borrower = self.borrowers.0.get_mut(&stream);
         let Some(lent) = borrower.and_then(|borrower| borrower.loans.remove(&loan)) else {
@@ -315,6 +291,8 @@
         conn.lent_pending = 0;
         conn.inbox.clear();
         let index = conn.server;
+        let elapsed = now.saturating_duration_since(conn.used_at);
+        self.servers[index].times.on_used(elapsed);
         self.servers[index].running = self.servers[index].running.saturating_sub(1);
         if clean {
             self.release(now, key, false);
@@ -389,13 +367,3 @@
         }
     }
 }
-
-/// Number of requests in the bytes that a borrower has sent. A borrower sends whole messages only.
-fn count_requests<P: Protocol>(mut bytes: &[u8], max_message: usize) -> usize {
-    let mut count = 0;
-    while let Ok(Some((len, _))) = P::decode_request(bytes, max_message) {
-        bytes = &bytes[len..];
-        count += 1;
-    }
-    count
-}
--- a/components/proxy/src/lenders.rs
+++ b/components/proxy/src/lenders.rs
@@ -46,11 +46,12 @@
         .collect()
 }
 
-/// Index of the lender that a proxy asks first, so that each lender serves a part of the proxies.
+/// Index of the lender that a proxy asks first. All proxies ask the same one for a tenant, so that the
+/// tenant's connections are reused; without tenants each lender serves a part of the proxies.
 #[must_use]
-pub fn preferred(instance: &str, service: &str) -> usize {
+pub fn preferred(instance: &str, tenant: Option<&str>, service: &str) -> usize {
     let mut hash = Sha256::new();
-    hash.update(instance.as_bytes());
+    hash.update(tenant.unwrap_or(instance).as_bytes());
     hash.update([0]);
     hash.update(service.as_bytes());
     usize::from(hash.finalize()[0]) % LENDER_COUNT
--- a/components/proxy/src/metrics.rs
+++ b/components/proxy/src/metrics.rs
@@ -21,6 +21,9 @@
     pub server_failures: Reasons,
     /// Connections opened to servers.
     pub connections_opened: Counter,
+    /// Connections in the name of tenants, by event: `opened` where there was room, `replaced` in
+    /// place of another tenant's, `reused` for a further statement or loan.
+    pub tenant_connections: Reasons,
     /// Connections requested from lenders.
     pub loans: Counter,
     pub sessions: Gauge,
@@ -46,6 +49,10 @@
         let server_failures = common.reasons("server_failures", "Failures of servers, by kind");
         let connections_opened =
             common.counter("connections_opened", "Connections opened to servers");
+        let tenant_connections = common.reasons(
+            "tenant_connections",
+            "Connections in the name of tenants, by event",
+        );
         let loans = common.counter("loans", "Connections asked for at other entries");
         let sessions = common.gauge("sessions", "Open sessions");
         let waiting = common.gauge("waiting", "Statements that wait for a connection");
@@ -69,6 +76,7 @@
             server_errors,
             server_failures,
             connections_opened,
+            tenant_connections,
             loans,
             sessions,
             waiting,
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -15,13 +15,14 @@
 use tokio::task::spawn_local;
 
 use crate::borrow::Lenders;
+use crate::conn::Conn;
 use crate::event::{ConnKey, Event, SessionKey};
 use crate::identity::Unconfirmed;
 use crate::lend::Borrowers;
 use crate::log_limit::Limiter;
 use crate::metrics::Set;
 use crate::protocol::{Access, Protocol};
-use crate::server::{Conn, Server};
+use crate::server::Server;
 use crate::service::Service;
 use crate::session::Session;
 use crate::stop::Stop;
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -1,18 +1,13 @@
 //! Servers as this proxy sees them, and its connections to them.
 
-use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use crate::choose::Candidate;
-use crate::event::{ConnKey, SessionKey};
+use crate::event::ConnKey;
 use crate::lend::Waiter;
-use crate::protocol::Code;
+use admission::tenancy::Times;
 use admission::{Queue, Window};
-use ahash::HashSet;
-use bytes::BytesMut;
-use clock::Moment;
-use link::io;
 use registry::Life;
 
 /// Assumed latency of a server before its first answer.
@@ -35,132 +30,6 @@
 /// How long no connection is opened after the server had none left.
 const FULL_PAUSE: Duration = Duration::from_millis(300);
 
-/// Purpose of a message to a server, which tells how its answer is handled.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Purpose {
-    /// Startup of the connection.
-    Startup,
-    /// Sets a variable, resets the connection or prepares a shape for the session that uses it.
-    Setup,
-    /// Begins a transaction.
-    Begin {
-        sent_at: Moment,
-        /// The transaction may write, so that only a leader accepts it.
-        writing: bool,
-    },
-    /// Runs the session's statement.
-    Statement { sent_at: Moment },
-    /// Rolls back a transaction; no session waits for the answer.
-    Rollback,
-}
-
-/// Result of the current answer, before its last message.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Outcome {
-    /// The statement has run.
-    Complete,
-    Error(Code),
-}
-
-/// A connection of another proxy.
-#[derive(Clone, Copy, Debug)]
-pub struct Loan {
-    /// Address of the lender for streams from other proxies.
-    pub lender: SocketAddr,
-    /// Number of the loan.
-    pub number: u64,
-    /// The lender has granted the connection.
-    pub granted: bool,
-}
-
-/// A connection to a server.
-#[derive(Debug)]
-pub struct Conn {
-    /// Index of the server.
-    pub server: usize,
-    /// Its socket, once it is open.
-    pub handle: Option<io::Handle>,
-    /// Bytes that contain no complete message yet.
-    pub inbox: BytesMut,
-    /// Bytes to send at the end of the loop's turn.
-    pub out: BytesMut,
-    /// Messages whose answers are pending, in order.
-    pub pending: VecDeque<Purpose>,
-    /// Encoded messages of the current answer, which are passed on to the caller.
-    pub answer: BytesMut,
-    /// Result of the current answer.
-    pub outcome: Option<Outcome>,
-    /// Session variables that are set on the connection.
-    pub variables: BTreeMap<String, String>,
-    /// Numbers of the shapes that are prepared on the connection.
-    pub prepared: HashSet<u32>,
-    /// Session that uses the connection.
-    pub session: Option<SessionKey>,
-    /// A transaction is open that the proxy itself began for a single read.
-    pub implicit_transaction: bool,
-    /// When its last use began or ended.
-    pub used_at: Instant,
-    /// Another proxy may have left unknown variables and shapes on it.
-    pub needs_reset: bool,
-    /// Set if it is borrowed from another proxy. Invariant: `handle` is `None` then.
-    pub loan: Option<Loan>,
-    /// Stream and number of the loan under which another proxy uses it.
-    pub lent_to: Option<(u64, u64)>,
-    /// Messages of the borrower whose answers are pending. A loan begins with one, for the statement
-    /// for which it was granted.
-    pub lent_pending: usize,
-    /// The borrower has sent a message.
-    pub lent_started: bool,
-}
-
-impl Conn {
-    /// A connection that is being opened.
-    #[must_use]
-    pub fn new(server: usize, now: Instant) -> Self {
-        Self {
-            server,
-            handle: None,
-            inbox: BytesMut::new(),
-            out: BytesMut::new(),
-            pending: VecDeque::from([Purpose::Startup]),
-            answer: BytesMut::new(),
-            outcome: None,
-            variables: BTreeMap::new(),
-            prepared: HashSet::default(),
-            session: None,
-            implicit_transaction: false,
-            used_at: now,
-            needs_reset: false,
-            loan: None,
-            lent_to: None,
-            lent_pending: 0,
-            lent_started: false,
-        }
-    }
-
-    /// Whether something runs on the connection that takes a slot of its server.
-    #[must_use]
-    pub fn is_busy(&self) -> bool {
-        let takes_slot = |purpose: &Purpose| match purpose {
-            Purpose::Startup | Purpose::Begin { .. } | Purpose::Statement { .. } => true,
-            Purpose::Setup | Purpose::Rollback => false,
-        };
-        let is_own = self.loan.is_none();
-        (is_own && self.pending.iter().any(takes_slot)) || self.lent_pending > 0
-    }
-
-    /// A connection that a lender is asked for.
-    #[must_use]
-    pub fn borrowed(server: usize, now: Instant, loan: Loan) -> Self {
-        Self {
-            pending: VecDeque::new(),
-            needs_reset: true,
-            loan: Some(loan),
-            ..Self::new(server, now)
-        }
-    }
-}
-
 /// A server.
 #[derive(Debug)]
 pub struct Server {
@@ -187,6 +56,10 @@
     pub opening: usize,
     /// Other proxies that wait for a connection.
     pub waiters: Queue<Waiter>,
+    /// Some of them may have named a tenant.
+    pub has_tenant_waiters: bool,
+    /// Measured times of the connections.
+    pub times: Times,
     /// This proxy's share of the server's connections.
     pub share: usize,
     /// Other proxies hold the server's connections and lend them.
@@ -233,6 +106,8 @@
             borrowed: 0,
             opening: 0,
             waiters: Queue::default(),
+            has_tenant_waiters: false,
+            times: Times::default(),
             share: 1,
             uses_lenders: false,
             window: Window::new(registered.slots),
@@ -263,12 +138,35 @@
     /// Whether a connection of this proxy's own may be opened now.
     #[must_use]
     pub fn has_own_room(&self, now: Instant) -> bool {
+        self.own_room(now) > 0
+    }
+
+    /// Number of connections of this proxy's own that may be opened now.
+    #[must_use]
+    pub fn own_room(&self, now: Instant) -> usize {
+        let own_conns = self.conns.len() - self.borrowed;
+        if self.may_open(now) {
+            self.own_limit().saturating_sub(own_conns)
+        } else {
+            0
+        }
+    }
+
+    /// Number of connections of its own that this proxy may have.
+    #[must_use]
+    pub fn own_limit(&self) -> usize {
+        self.share + self.overcommit
+    }
+
+    fn may_open(&self, now: Instant) -> bool {
         let full = self.full_until.is_some_and(|until| now < until);
-        let (own_conns, limit) = (
-            self.conns.len() - self.borrowed,
-            self.share + self.overcommit,
-        );
-        self.listed && !full && !self.is_down(now) && own_conns < limit
+        self.listed && !full && !self.is_down(now)
+    }
+
+    /// Whether a connection of this proxy's own may be put in place of another one now.
+    #[must_use]
+    pub fn may_replace(&self, now: Instant) -> bool {
+        self.may_open(now) && self.conns.len() - self.borrowed <= self.own_limit()
     }
 
     /// Whether the server is skipped after failures.
@@ -373,9 +271,17 @@
         }
     }
 
-    /// The server as a candidate for a read.
+    /// The server as a candidate for a read of a tenant for which it has an idle connection, or
+    /// for which one can be opened.
     #[must_use]
-    pub fn candidate(&self, index: usize, primary: bool, tried: bool, now: Instant) -> Candidate {
+    pub fn candidate(
+        &self,
+        index: usize,
+        primary: bool,
+        tried: bool,
+        (has_idle, can_open): (bool, bool),
+        now: Instant,
+    ) -> Candidate {
         let recent = self.answered_at.is_some_and(|at| now < at + LAG_VALIDITY);
         let since_served = self.served_at.map(|at| now.saturating_duration_since(at));
         let half_lives = since_served.map_or(0.0, |since_served| {
@@ -386,8 +292,8 @@
             draining: self.draining_since.is_some() || !self.listed,
             primary,
             local: self.local,
-            has_idle: !self.idle.is_empty(),
-            can_open: self.has_room(now),
+            has_idle,
+            can_open,
             running: self.running,
             latency: self.latency.mul_f64(0.5_f64.powf(half_lives)),
             full: self.full_slots_until.is_some_and(|until| now < until),
--- a/components/proxy/src/service.rs
+++ b/components/proxy/src/service.rs
@@ -32,6 +32,8 @@
     pub primary_reached_at: Option<Moment>,
     /// Sessions whose statements wait.
     pub waiting: VecDeque<SessionKey>,
+    /// Sessions whose waiting statements are being dispatched again, in their order.
+    pub retrying: Vec<SessionKey>,
     /// Since when the primary is unusable.
     pub unusable_since: Option<Instant>,
     /// Since when the primary is slow.
@@ -84,6 +86,7 @@
             last_request_at: None,
             primary_reached_at: None,
             waiting: VecDeque::new(),
+            retrying: Vec::new(),
             unusable_since: None,
             slow_since: None,
             confirmed_at: None,
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -169,6 +169,8 @@
     pub after: Option<Point>,
     /// Indices of the servers on which it was tried.
     pub tried_servers: Vec<usize>,
+    /// Index of the server that had no connection for it at the last attempt.
+    pub waits_for: Option<usize>,
     /// Why it was last retried.
     pub retry_cause: Option<Code>,
 }
--- a/components/proxy/src/sync.rs
+++ b/components/proxy/src/sync.rs
@@ -176,14 +176,15 @@
     }
 
     /// Opens a connection to each server that has none, so that the first statement need not wait
-    /// for it.
+    /// for it. The tenant with the highest rate can most likely use it.
     fn open_first_conns(&mut self, now: Instant) {
         for index in 0..self.servers.len() {
             let server = &self.servers[index];
             let wanted =
                 server.listed && server.draining_since.is_none() && !server.is_oversubscribed();
             if wanted && server.conns.is_empty() && server.has_room(now) {
-                self.open(now, index, Urgency::first(now));
+                let tenant = self.directory.largest();
+                self.open(now, index, tenant, Urgency::first(now));
             }
         }
     }
--- a/components/proxy/src/tenant.rs
+++ b/components/proxy/src/tenant.rs
@@ -2,8 +2,13 @@
 
 use ahash::HashMap;
 use registry::Plan;
+use registry::server::is_name;
 use registry::tenant::{Digest, Tenant};
 
+/// Number of names after which none is learned from other proxies. Names are never forgotten, so a
+/// faulty peer could otherwise exhaust the memory.
+const MAX_NAMES: usize = 10_000;
+
 /// Identifies a tenant within this process. It stays valid after the tenant has left the plan.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Id(usize);
@@ -47,6 +52,14 @@
         id
     }
 
+    /// The id of a tenant that another proxy has named; `None` if there are too many names, or if it
+    /// cannot be a name of the plan.
+    pub fn named_by_peer(&mut self, name: &str) -> Option<Id> {
+        let known = self.ids.contains_key(name);
+        let fits = || is_name(name) && self.names.len() < MAX_NAMES;
+        (known || fits()).then(|| self.id(name))
+    }
+
     #[must_use]
     pub fn name(&self, id: Id) -> &str {
         &self.names[id.0]
--- a/components/proxy/tests/lenders.rs
+++ b/components/proxy/tests/lenders.rs
@@ -63,7 +63,8 @@
 // The first lender of a service must differ between proxies, so that no lender gets all requests.
 #[test]
 fn spreads_proxies_over_lenders() {
-    let first = (0..200).filter(|number| preferred(&format!("entry-{number}"), "orders") == 0);
+    let first =
+        (0..200).filter(|number| preferred(&format!("entry-{number}"), None, "orders") == 0);
     let first = first.count();
     assert!((60..140).contains(&first), "{first} of 200");
 }
