--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -23,6 +23,12 @@
         Self(self.0.saturating_sub(duration))
     }
 
+    /// The moment `duration` later.
+    #[must_use]
+    pub fn later(self, duration: Duration) -> Self {
+        Self(self.0.saturating_add(duration))
+    }
+
     /// Time from `earlier` to this moment; zero if `earlier` is after it.
     #[must_use]
     pub fn since(self, earlier: Self) -> Duration {
--- /dev/null
+++ b/components/ratelimit/src/bucket.rs
@@ -0,0 +1,1 @@
+//! Bucket of one tenant.
--- /dev/null
+++ b/components/ratelimit/src/stock.rs
@@ -0,0 +1,1 @@
+//! Tokens and waiting operations of one tenant at a holder.
