Detect suspensions of the machine

The steady clock stops during a suspension, so a lease measured on it seems younger than it is. Compare it with the clock that goes on.

--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -3,10 +3,14 @@
 //! The monotonic clock stops while a machine is suspended. Data observed before the suspension
 //! would appear younger than it is, and a read could return data older than its caller accepts.
 
+mod suspension;
+
 use std::time::Duration;
 
 use rustix::time::{ClockId, clock_gettime};
 
+pub use suspension::Suspension;
+
 /// A point in time on a clock that also counts suspended time.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Moment(Duration);
