--- a/components/coordinator/src/event.rs
+++ b/components/coordinator/src/event.rs
@@ -43,6 +43,10 @@
     EntryOpened(StreamId, mpsc::Sender<Frame>),
     /// A message of an entry, or the end of its stream.
     Entry(StreamId, link::Event<wire::Subscribe>),
+    /// An entry opened a stream for claims of tokens.
+    RateOpened(StreamId, mpsc::Sender<wire::Issue>),
+    /// A claim of an entry, or the end of its stream.
+    Rate(StreamId, link::Event<wire::Claim>),
     /// A batch of disk writes has completed or failed.
     Disk(Completion<Wal<Native>>),
     /// Outcome of a command to a server.
--- a/components/coordinator/src/lib.rs
+++ b/components/coordinator/src/lib.rs
@@ -13,9 +13,11 @@
 mod metrics;
 pub mod neighbours;
 mod process;
+mod rate;
 mod requests;
 mod samples;
 mod servers;
+mod streams;
 mod subscribers;
 
 pub use api::{Api, Call, Reply};
--- a/components/coordinator/src/log.rs
+++ b/components/coordinator/src/log.rs
@@ -135,6 +135,7 @@
             .set_leading_since((role == Role::Leader).then_some(now));
         if role != Role::Leader {
             self.leadership = None;
+            self.rates.stop();
             for (_, proposal) in std::mem::take(&mut self.proposals) {
                 self.refuse_lost(proposal.waiter);
             }
@@ -162,6 +163,7 @@
                 let is_own = entry.position.epoch == self.node.epoch();
                 if is_own && self.node.role() == Role::Leader {
                     self.leadership = Some(Leadership::new(now));
+                    self.rates.start(self.settings.rate_limit, &self.plan);
                     tracing::info!(
                         revision = self.registry.revision(),
                         version = self.registry.plan_version(),
@@ -248,6 +250,7 @@
         let next = read_plan::<A>(&self.registry);
         let change = next.change_from(&self.plan);
         self.plan = next;
+        self.rates.set_plan(&self.plan);
         self.subscribers.publish(&wire::Publish::Plan(change));
     }
 
--- a/components/coordinator/src/metrics.rs
+++ b/components/coordinator/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a coordinator.
 
 use observe::metrics::{Metrics, PHASE_BUCKETS_SECONDS};
+use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 
@@ -35,6 +36,10 @@
     pub change_seconds: Histogram,
     /// Time from the proposal of an order to its commit.
     pub commit_seconds: Histogram,
+    /// Tokens of rate limits that were issued.
+    pub tokens_issued: Counter,
+    /// Tokens that waiting operations claimed and did not get.
+    pub tokens_short: Counter,
 }
 
 impl Set {
@@ -57,6 +62,11 @@
             "Time from the proposal of an order to its commit",
             &PHASE_BUCKETS_SECONDS,
         );
+        let tokens_issued = common.counter("tokens_issued", "Tokens of rate limits issued");
+        let tokens_short = common.counter(
+            "tokens_short",
+            "Tokens of rate limits that waiting operations claimed and did not get",
+        );
         Self {
             common,
             leader,
@@ -66,6 +76,8 @@
             disk_full,
             change_seconds,
             commit_seconds,
+            tokens_issued,
+            tokens_short,
         }
     }
 }
--- a/components/coordinator/src/process.rs
+++ b/components/coordinator/src/process.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{Context, Result, bail};
 use cluster::roster::{Roster, Size};
-use cluster::{Peers, data, peers, writes};
+use cluster::{Peers, data, writes};
 use consensus::{Epoch, Identity, Node};
 use disk::{Native, Wal};
 use rand::SeedableRng;
@@ -18,21 +18,21 @@
 use tokio::task::spawn_local;
 
 use crate::api::Api;
-use crate::event::{Event, StreamId};
+use crate::event::Event;
 use crate::leadership::Leadership;
 use crate::log;
 use crate::metrics::Set;
 use crate::neighbours::Neighbours;
+use crate::rate::Rates;
 use crate::samples::Cache;
 use crate::servers::{Agent, Connection};
+use crate::streams;
 use crate::subscribers::Subscribers;
 
 /// Length of the event queue; senders wait while it is full.
 const EVENT_QUEUE_LEN: usize = 4096;
 /// Events handled before the timers are checked again.
 const MAX_EVENTS_PER_TURN: usize = 256;
-/// Length of the queue of outgoing messages of an entry's stream.
-const ENTRY_QUEUE_LEN: usize = 1024;
 /// Connections of the HTTP endpoint, which servers keep open between heartbeats. The remaining file
 /// descriptors of the machines' limit of 4,096 are for streams, connections to servers and files.
 const MAX_HTTP_CONNECTIONS: usize = 3000;
@@ -95,6 +95,7 @@
     pub(crate) plan: Plan,
     /// Set while this instance leads and has applied all orders of earlier epochs.
     pub(crate) leadership: Option<Leadership>,
+    pub(crate) rates: Rates,
     /// Own proposals by log index.
     pub(crate) proposals: BTreeMap<u64, Proposal>,
     /// Requests for the plan that wait for a quorum of heartbeat replies, by the number of the read,
@@ -149,7 +150,7 @@
         events.clone(),
         limits,
     ));
-    accept_streams(link_listener, events.clone());
+    streams::accept(link_listener, events.clone());
     let stop_events = events.clone();
     spawn_local(async move {
         stop.await;
@@ -170,28 +171,6 @@
     Ok(())
 }
 
-fn accept_streams(listener: TcpListener, events: mpsc::Sender<Event>) {
-    spawn_local(link::listen(listener, move |path, number, stream| {
-        let events = events.clone();
-        match path {
-            link::PEER_PATH => {
-                spawn_local(peers::receive(stream, events));
-            }
-            link::ENTRY_PATH => {
-                let id = StreamId(number);
-                let (sender, outgoing) = mpsc::channel(ENTRY_QUEUE_LEN);
-                spawn_local(async move {
-                    if events.send(Event::EntryOpened(id, sender)).await.is_ok() {
-                        let to_event = move |event| Event::Entry(id, event);
-                        stream.run(outgoing, events, to_event).await;
-                    }
-                });
-            }
-            _ => {}
-        }
-    }));
-}
-
 impl<A: Api, C: Connection> Loop<A, C> {
     fn new(
         settings: settings::Coordinator,
@@ -238,6 +217,7 @@
             plan: log::read_plan::<A>(&registry),
             registry,
             leadership: None,
+            rates: Rates::default(),
             proposals: BTreeMap::new(),
             reads: BTreeMap::new(),
             next_read: 0,
@@ -310,6 +290,8 @@
             Event::EntryOpened(id, sender) => self.subscribers.open(id, sender),
             Event::Entry(id, link::Event::Message(message)) => self.on_entry(now, id, message)?,
             Event::Entry(id, link::Event::Closed(_)) => self.subscribers.close(id),
+            Event::RateOpened(id, sender) => self.rates.open(id, sender),
+            Event::Rate(id, event) => self.on_rate(id, event),
             Event::Disk(completion) => self.on_disk(now, completion)?,
             Event::CommandAnswer {
                 service,
@@ -376,6 +358,7 @@
             leadership.on_tick(now, &self.registry, start_agent, &mut actions);
         }
         self.run_failover_actions(now, actions)?;
+        self.answer_claims();
         let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         self.metrics.revision.set(gauge(self.registry.revision()));
         self.metrics
@@ -402,6 +385,6 @@
 }
 
 /// Reads the monotonic clock, which tests can pause.
-fn now() -> Instant {
+pub(crate) fn now() -> Instant {
     tokio::time::Instant::now().into_std()
 }
