--- a/components/ratelimit/src/lib.rs
+++ b/components/ratelimit/src/lib.rs
@@ -10,6 +10,7 @@
 mod issuer;
 mod message;
 mod stock;
+mod usage;
 
 pub use holder::{Admission, Holder, Settled};
 pub use issuer::{Issuer, Limit};
--- a/components/ratelimit/src/stock.rs
+++ b/components/ratelimit/src/stock.rs
@@ -1,1 +1,340 @@
 //! Tokens and waiting operations of one tenant at a holder.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use clock::Moment;
+
+use crate::holder::{Admission, Settled};
+use crate::message::{Grant, Need};
+use crate::usage::Usage;
+
+/// Highest number of operations of one tenant that wait. Bounds the memory; a process has fewer
+/// descriptors for callers.
+const MAX_WAITING: usize = 8192;
+/// Fewest operations in the usage window for which tokens are held: a single one shows no rate, and
+/// of a tenant with few tokens each one held is missing elsewhere.
+const MIN_USAGE: u32 = 2;
+/// Shortest time between two claims for tokens to hold, if the issuer does not grant them.
+const AHEAD_INTERVAL: Duration = Duration::from_millis(100);
+/// Lifetime of a token given back. The issuer counts it as spent, so it is used soon or not at all.
+const RETURNED_LIFETIME: Duration = Duration::from_millis(250);
+/// Tokens whose expiries lie within this time share one batch, which bounds the number of batches.
+const BATCH_SPAN: Duration = Duration::from_millis(100);
+/// Time after which a caller should come back if the issuer has not answered.
+const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
+/// Longest time named to a caller.
+const MAX_RETRY: Duration = Duration::from_secs(5);
+/// Fractional part of the golden ratio in 2^-32: multiples of it are spread evenly.
+const GOLDEN: u32 = 0x9E37_79B9;
+
+/// Tokens that expire together.
+#[derive(Clone, Copy, Debug)]
+struct Batch {
+    expires_at: Moment,
+    /// Invariant: at least 1.
+    tokens: u32,
+}
+
+/// An operation that waits for a token.
+#[derive(Clone, Copy, Debug)]
+struct Waiting<W> {
+    waiter: W,
+    deadline: Moment,
+}
+
+/// The issuer had too few tokens.
+#[derive(Clone, Copy, Debug)]
+struct Shortage {
+    /// When to claim again.
+    until: Moment,
+    /// Time in which this holder can expect one token.
+    pace: Duration,
+}
+
+/// When a claim was sent and which part of its answer can still be used.
+#[derive(Clone, Copy, Debug)]
+pub struct Answered {
+    pub expires_at: Moment,
+    /// Whether the answer is so recent that tokens counted as spent can be used.
+    pub is_prompt: bool,
+}
+
+/// State of one tenant.
+#[derive(Debug)]
+pub struct Stock<W> {
+    /// Unspent tokens, the next to expire first.
+    batches: VecDeque<Batch>,
+    /// Sum of the tokens in `batches`.
+    held: u32,
+    /// What the issuer counts as held, as far as this holder knows.
+    reported: u32,
+    /// In the order of their arrival. Invariant: at most `MAX_WAITING`.
+    waiting: VecDeque<Waiting<W>>,
+    /// Waiting operations that are in the claim under way.
+    claimed: u32,
+    usage: Usage,
+    shortage: Option<Shortage>,
+    /// Operations refused in the present shortage.
+    refused: u32,
+    /// From when on tokens to hold may be claimed again.
+    ahead_from: Moment,
+}
+
+impl<W: Copy + Ord> Stock<W> {
+    pub fn new() -> Self {
+        Self {
+            batches: VecDeque::new(),
+            held: 0,
+            reported: 0,
+            waiting: VecDeque::new(),
+            claimed: 0,
+            usage: Usage::default(),
+            shortage: None,
+            refused: 0,
+            ahead_from: Moment::default(),
+        }
+    }
+
+    pub fn take(&mut self, now: Moment, waiter: W, deadline: Moment) -> Admission {
+        self.refresh(now);
+        if self.waiting.is_empty() && self.spend(now) {
+            return Admission::Go;
+        }
+        let is_hopeless = self.shortage.is_some_and(|known| known.until > deadline);
+        if is_hopeless || self.waiting.len() >= MAX_WAITING {
+            return self.refusal(now);
+        }
+        self.waiting.push_back(Waiting { waiter, deadline });
+        Admission::Wait
+    }
+
+    /// Only operations admitted within the usage window are replaced: tokens that come back after a
+    /// server hung would otherwise start those of several seconds at once.
+    pub fn give_back(&mut self, now: Moment) {
+        if self.usage.remove(now) {
+            self.add(now.later(RETURNED_LIFETIME), 1);
+        }
+    }
+
+    pub fn withdraw(&mut self, waiter: W) {
+        self.waiting.retain(|waiting| waiting.waiter != waiter);
+    }
+
+    /// Drops expired tokens, those of a tenant without use, and a shortage that is over.
+    pub fn refresh(&mut self, now: Moment) {
+        self.usage.refresh(now);
+        let is_idle = self.usage.idle_at() <= now;
+        self.batches
+            .retain(|batch| !is_idle && batch.expires_at > now);
+        self.held = self.batches.iter().map(|batch| batch.tokens).sum();
+        self.shortage = self.shortage.filter(|known| known.until > now);
+    }
+
+    /// Whether nothing would be lost with this state.
+    pub fn is_unused(&self, now: Moment) -> bool {
+        let is_empty = self.waiting.is_empty() && self.held == 0 && self.reported == 0;
+        is_empty && self.shortage.is_none() && self.usage.idle_at() <= now
+    }
+
+    /// From when on a claim is due for this tenant, if none is under way.
+    pub fn claim_due(&self, report_at: Moment) -> Option<Moment> {
+        let start = self.shortage.map(|known| known.until).unwrap_or_default();
+        let usage = self.usage.total();
+        let is_low = usage >= MIN_USAGE && self.held < usage / 2;
+        let dues = [
+            (!self.waiting.is_empty()).then_some(start),
+            is_low.then_some(start.max(self.ahead_from)),
+            (self.held != self.reported).then_some(report_at),
+        ];
+        dues.into_iter().flatten().min()
+    }
+
+    /// When `settle_due` or `refresh` changes something, if nothing else happens.
+    pub fn change_due(&self) -> Option<Moment> {
+        if self.held > 0 && !self.waiting.is_empty() {
+            return Some(Moment::default());
+        }
+        let deadlines = self.waiting.iter().map(|waiting| waiting.deadline);
+        let idle = (self.held > 0).then(|| self.usage.idle_at());
+        deadlines.chain(idle).min()
+    }
+
+    /// What to claim, if anything.
+    pub fn need<T>(&mut self, now: Moment, tenant: T) -> Option<Need<T>> {
+        let is_short = self.shortage.is_some();
+        let usage = self.usage.total();
+        let wants_ahead = !is_short && usage >= MIN_USAGE && self.held < usage;
+        let waiting = if is_short { 0 } else { self.waiting.len() };
+        if waiting == 0 && !wants_ahead && self.held == self.reported {
+            return None;
+        }
+        self.claimed = u32::try_from(waiting).unwrap_or(u32::MAX);
+        self.reported = self.held;
+        if wants_ahead {
+            self.ahead_from = now.later(AHEAD_INTERVAL);
+        }
+        Some(Need {
+            tenant,
+            held: self.held,
+            waiting: self.claimed,
+            ahead: if wants_ahead { usage } else { 0 },
+        })
+    }
+
+    /// The claim under way has no answer for this tenant.
+    pub fn on_unanswered(&mut self) {
+        self.claimed = 0;
+    }
+
+    pub fn on_disconnected(&mut self) {
+        self.claimed = 0;
+        self.reported = 0;
+    }
+
+    pub fn on_grant<T>(
+        &mut self,
+        now: Moment,
+        grant: &Grant<T>,
+        answered: Answered,
+        settled: &mut Vec<Settled<W>>,
+    ) {
+        self.refresh(now);
+        let spent = grant.tokens.min(self.claimed);
+        let short = self.claimed - spent;
+        let kept = grant.tokens - spent;
+        self.claimed = 0;
+        self.reported = self.reported.saturating_add(kept);
+        if answered.is_prompt {
+            self.start_waiting(now, spent, settled);
+        }
+        if answered.expires_at > now {
+            self.add(answered.expires_at, kept);
+        }
+        self.on_shortage(now, grant.retry_in, short);
+        self.settle_due(now, settled);
+    }
+
+    /// Settles the operations that have a token, and those that get none in time.
+    pub fn settle_due(&mut self, now: Moment, settled: &mut Vec<Settled<W>>) {
+        self.refresh(now);
+        self.refuse_late(now, Moment::default(), settled);
+        while !self.waiting.is_empty() && self.spend(now) {
+            self.start_first(settled);
+        }
+        let until = self.shortage.map(|known| known.until).unwrap_or_default();
+        self.refuse_late(now, until, settled);
+    }
+
+    /// The tenant has no limit any more.
+    pub fn start_all(&mut self, settled: &mut Vec<Settled<W>>) {
+        while !self.waiting.is_empty() {
+            self.start_first(settled);
+        }
+    }
+
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Starts waiting operations with tokens that the issuer counts as spent; those left over are
+    /// dropped.
+    fn start_waiting(&mut self, now: Moment, tokens: u32, settled: &mut Vec<Settled<W>>) {
+        self.refuse_late(now, Moment::default(), settled);
+        for _ in 0..tokens.min(u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)) {
+            self.usage.add(now);
+            self.start_first(settled);
+        }
+    }
+
+    /// Refuses the operations whose deadlines have passed or are before `until`.
+    fn refuse_late(&mut self, now: Moment, until: Moment, settled: &mut Vec<Settled<W>>) {
+        for operation in std::mem::take(&mut self.waiting) {
+            if operation.deadline > now && operation.deadline >= until {
+                self.waiting.push_back(operation);
+                continue;
+            }
+            settled.push(Settled {
+                waiter: operation.waiter,
+                admission: self.refusal(now),
+            });
+        }
+    }
+
+    fn start_first(&mut self, settled: &mut Vec<Settled<W>>) {
+        settled.extend(self.waiting.pop_front().map(|first| Settled {
+            waiter: first.waiter,
+            admission: Admission::Go,
+        }));
+    }
+
+    fn spend(&mut self, now: Moment) -> bool {
+        let Some(first) = self.batches.front_mut() else {
+            return false;
+        };
+        first.tokens -= 1;
+        if first.tokens == 0 {
+            self.batches.pop_front();
+        }
+        self.held -= 1;
+        self.usage.add(now);
+        true
+    }
+
+    /// Adds tokens; a batch that expires shortly before takes them in.
+    fn add(&mut self, expires_at: Moment, tokens: u32) {
+        if tokens == 0 {
+            return;
+        }
+        self.held = self.held.saturating_add(tokens);
+        let place = self
+            .batches
+            .partition_point(|batch| batch.expires_at <= expires_at);
+        if let Some(before) = place.checked_sub(1).map(|before| &mut self.batches[before])
+            && expires_at.since(before.expires_at) < BATCH_SPAN
+        {
+            before.tokens = before.tokens.saturating_add(tokens);
+            return;
+        }
+        self.batches.insert(place, Batch { expires_at, tokens });
+    }
+
+    fn on_shortage(&mut self, now: Moment, retry_in: Duration, short: u32) {
+        if retry_in.is_zero() {
+            self.shortage = None;
+            self.refused = 0;
+            return;
+        }
+        // Callers refused before have come back in part.
+        self.refused /= 2;
+        self.shortage = Some(Shortage {
+            until: now.later(retry_in),
+            pace: retry_in / short.max(1),
+        });
+    }
+
+    /// Refuses one more operation. Each caller is told a later time than the one before, as far as
+    /// the longest time allows; beyond it the times are spread over its second half.
+    fn refusal(&mut self, now: Moment) -> Admission {
+        self.refused = self.refused.saturating_add(1);
+        let retry_in = match self.shortage {
+            Some(known) => {
+                let before_mine = known.pace.saturating_mul(self.refused);
+                known.until.since(now).saturating_add(before_mine)
+            }
+            None => UNKNOWN_RETRY + self.spread(UNKNOWN_RETRY),
+        };
+        let retry_in = if retry_in > MAX_RETRY {
+            MAX_RETRY / 2 + self.spread(MAX_RETRY / 2)
+        } else {
+            retry_in
+        };
+        Admission::Refused { retry_in }
+    }
+
+    /// A part of `range` that differs from one refused operation to the next.
+    fn spread(&self, range: Duration) -> Duration {
+        let part = self.refused.wrapping_mul(GOLDEN);
+        range.mul_f64(f64::from(part) / f64::from(u32::MAX))
+    }
+}
