--- a/components/ratelimit/src/bucket.rs
+++ b/components/ratelimit/src/bucket.rs
@@ -18,9 +18,8 @@
 const PARTS_PER_MILLI: u128 = 1_000_000_000;
 /// Parts of a token.
 const TOKEN: u128 = 1000 * PARTS_PER_MILLI;
-/// Longest time after which a holder is told to claim again. A longer one would let the bucket reach
-/// its cap while every holder waits.
-pub const MAX_RETRY: Duration = Duration::from_secs(1);
+/// Longest backlog that is named to holders. Callers do not wait longer for an operation.
+pub const MAX_RETRY: Duration = Duration::from_secs(5);
 /// Tokens issued to a holder within this time share one batch, which bounds the number of batches.
 const BATCH_SPAN: Duration = Duration::from_millis(250);
 /// Fractional part of the golden ratio in 2^-32: multiples of it are spread evenly.
@@ -95,16 +94,29 @@
         self.level = self.level.min(self.cap());
     }
 
-    /// Records what a holder reports to have left of the issues up to `received`. The report can be
-    /// higher than what is known: tokens of an earlier stream or issuer are counted elsewhere.
-    pub fn on_report(&mut self, now: Moment, holder: H, received: u64, held: u32) {
+    /// Records what a holder reports to have left of the issues up to `received`, and takes back what
+    /// it has beyond `ahead`. The report can be higher than what is known: tokens of an earlier stream
+    /// or issuer are counted elsewhere. Then nothing is taken back, as these may be the ones returned.
+    pub fn on_report<T>(&mut self, now: Moment, holder: H, received: u64, need: &Need<T>) {
         self.advance(now);
+        let batches = self.held.get(&holder).into_iter().flatten();
+        let received = batches.take_while(|batch| batch.number <= received);
+        let known: u64 = received.map(|batch| batch.tokens).sum();
+        let held = u64::from(need.held);
+        if held > known {
+            return;
+        }
+        let returned = held.saturating_sub(need.ahead.into());
+        self.release(holder, known - held + returned);
+        self.level += u128::from(returned) * TOKEN;
+    }
+
+    /// Removes the oldest tokens of a holder.
+    fn release(&mut self, holder: H, tokens: u64) {
         let Some(batches) = self.held.get_mut(&holder) else {
             return;
         };
-        let received = batches.iter().take_while(|batch| batch.number <= received);
-        let known: u64 = received.map(|batch| batch.tokens).sum();
-        let mut spent = known.saturating_sub(held.into());
+        let mut spent = tokens;
         self.held_total -= spent;
         while let Some(oldest) = batches.front_mut().filter(|_| spent > 0) {
             let part = oldest.tokens.min(spent);
--- a/components/ratelimit/src/issuer.rs
+++ b/components/ratelimit/src/issuer.rs
@@ -138,7 +138,7 @@
                 retry_in: Duration::ZERO,
             };
         };
-        bucket.on_report(now, holder, claim.received, need.held);
+        bucket.on_report(now, holder, claim.received, need);
         let (tokens, retry_in) = bucket.issue(now, holder, claim.number, need);
         Grant {
             tenant: need.tenant.clone(),
--- a/components/ratelimit/src/message.rs
+++ b/components/ratelimit/src/message.rs
@@ -14,7 +14,8 @@
     pub held: u32,
     /// Operations that wait for a token.
     pub waiting: u32,
-    /// Tokens that the holder wants to have unspent for coming operations, `held` included.
+    /// Tokens that the holder wants to have unspent for coming operations, `held` included. If it is
+    /// less than `held`, the holder has dropped the difference and the issuer can issue it again.
     pub ahead: u32,
 }
 
@@ -35,7 +36,7 @@
     pub tenant: T,
     /// Tokens for the waiting operations first, the others to hold.
     pub tokens: u32,
-    /// Time after which to claim again; zero if every waiting operation has a token.
+    /// Time until the refused operations can have tokens; zero if every waiting operation has a token.
     pub retry_in: Duration,
 }
 
--- a/components/ratelimit/src/stock.rs
+++ b/components/ratelimit/src/stock.rs
@@ -21,6 +21,9 @@
 const RETURNED_LIFETIME: Duration = Duration::from_millis(250);
 /// Tokens whose expiries lie within this time share one batch, which bounds the number of batches.
 const BATCH_SPAN: Duration = Duration::from_millis(100);
+/// Longest time without a claim after a shortage. With a longer one the bucket could reach its cap
+/// while every holder waits.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
 /// Time after which a caller should come back if the issuer has not answered.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
 /// Longest time named to a caller.
@@ -46,7 +49,7 @@
 /// The issuer had too few tokens.
 #[derive(Clone, Copy, Debug)]
 struct Shortage {
-    /// When to claim again.
+    /// When to claim again. What is known about the pace outlasts it.
     until: Moment,
     /// Time in which this holder can expect one token.
     pace: Duration,
@@ -101,8 +104,7 @@
         if self.waiting.is_empty() && self.spend(now) {
             return Admission::Go;
         }
-        let is_hopeless = self.shortage.is_some_and(|known| known.until > deadline);
-        if is_hopeless || self.waiting.len() >= MAX_WAITING {
+        if self.claim_from() > deadline || self.waiting.len() >= MAX_WAITING {
             return self.refusal(now);
         }
         self.waiting.push_back(Waiting { waiter, deadline });
@@ -121,31 +123,34 @@
         self.waiting.retain(|waiting| waiting.waiter != waiter);
     }
 
-    /// Drops expired tokens, those of a tenant without use, and a shortage that is over.
+    /// Drops expired tokens.
     pub fn refresh(&mut self, now: Moment) {
         self.usage.refresh(now);
-        let is_idle = self.usage.idle_at() <= now;
-        self.batches
-            .retain(|batch| !is_idle && batch.expires_at > now);
+        self.batches.retain(|batch| batch.expires_at > now);
         self.held = self.batches.iter().map(|batch| batch.tokens).sum();
-        self.shortage = self.shortage.filter(|known| known.until > now);
     }
 
     /// Whether nothing would be lost with this state.
     pub fn is_unused(&self, now: Moment) -> bool {
         let is_empty = self.waiting.is_empty() && self.held == 0 && self.reported == 0;
-        is_empty && self.shortage.is_none() && self.usage.idle_at() <= now
+        is_empty && self.claim_from() <= now && self.usage.idle_at() <= now
+    }
+
+    /// From when on tokens may be claimed.
+    fn claim_from(&self) -> Moment {
+        self.shortage.map(|known| known.until).unwrap_or_default()
     }
 
     /// From when on a claim is due for this tenant, if none is under way.
     pub fn claim_due(&self, report_at: Moment) -> Option<Moment> {
-        let start = self.shortage.map(|known| known.until).unwrap_or_default();
+        let start = self.claim_from();
         let usage = self.usage.total();
         let is_low = usage >= MIN_USAGE && self.held < usage / 2;
         let dues = [
             (!self.waiting.is_empty()).then_some(start),
             is_low.then_some(start.max(self.ahead_from)),
             (self.held != self.reported).then_some(report_at),
+            (self.held > 0).then(|| report_at.max(self.usage.idle_at())),
         ];
         dues.into_iter().flatten().min()
     }
@@ -155,33 +160,51 @@
         if self.held > 0 && !self.waiting.is_empty() {
             return Some(Moment::default());
         }
-        let deadlines = self.waiting.iter().map(|waiting| waiting.deadline);
-        let idle = (self.held > 0).then(|| self.usage.idle_at());
-        deadlines.chain(idle).min()
+        self.waiting.iter().map(|waiting| waiting.deadline).min()
     }
 
     /// What to claim, if anything.
     pub fn need<T>(&mut self, now: Moment, tenant: T) -> Option<Need<T>> {
-        let is_short = self.shortage.is_some();
-        let usage = self.usage.total();
-        let wants_ahead = !is_short && usage >= MIN_USAGE && self.held < usage;
+        let is_short = self.claim_from() > now;
+        let ahead = self.wanted_ahead(now, is_short);
         let waiting = if is_short { 0 } else { self.waiting.len() };
-        if waiting == 0 && !wants_ahead && self.held == self.reported {
+        if waiting == 0 && ahead == self.held && self.held == self.reported {
             return None;
         }
+        let held = self.held;
+        self.drop_oldest(held.saturating_sub(ahead));
         self.claimed = u32::try_from(waiting).unwrap_or(u32::MAX);
         self.reported = self.held;
-        if wants_ahead {
-            self.ahead_from = now.later(AHEAD_INTERVAL);
-        }
+        self.ahead_from = now.later(AHEAD_INTERVAL);
         Some(Need {
             tenant,
-            held: self.held,
+            held,
             waiting: self.claimed,
-            ahead: if wants_ahead { usage } else { 0 },
+            ahead,
         })
     }
 
+    /// Tokens to hold: the use of the window. More are kept as long as they are less than twice that,
+    /// so that uneven use does not move tokens to and fro.
+    fn wanted_ahead(&self, now: Moment, is_short: bool) -> u32 {
+        let usage = self.usage.total();
+        if self.usage.idle_at() <= now {
+            0
+        } else if self.held > usage.saturating_mul(2) {
+            usage
+        } else if is_short || usage < MIN_USAGE {
+            self.held
+        } else {
+            usage.max(self.held)
+        }
+    }
+
+    fn drop_oldest(&mut self, tokens: u32) {
+        for _ in 0..tokens {
+            self.remove_first();
+        }
+    }
+
     /// The claim under way has no answer for this tenant.
     pub fn on_unanswered(&mut self) {
         self.claimed = 0;
@@ -222,8 +245,7 @@
         while !self.waiting.is_empty() && self.spend(now) {
             self.start_first(settled);
         }
-        let until = self.shortage.map(|known| known.until).unwrap_or_default();
-        self.refuse_late(now, until, settled);
+        self.refuse_late(now, self.claim_from(), settled);
     }
 
     /// The tenant has no limit any more.
@@ -269,6 +291,15 @@
     }
 
     fn spend(&mut self, now: Moment) -> bool {
+        let has_token = self.remove_first();
+        if has_token {
+            self.usage.add(now);
+        }
+        has_token
+    }
+
+    /// Removes the token that expires first, if there is one.
+    fn remove_first(&mut self) -> bool {
         let Some(first) = self.batches.front_mut() else {
             return false;
         };
@@ -277,7 +308,6 @@
             self.batches.pop_front();
         }
         self.held -= 1;
-        self.usage.add(now);
         true
     }
 
@@ -307,8 +337,15 @@
         }
         // Callers refused before have come back in part.
         self.refused /= 2;
+        // Long times differ from holder to holder, and so do the pauses derived from them.
+        let pause = if retry_in > MAX_PAUSE {
+            let part = retry_in.as_nanos() % (MAX_PAUSE / 2).as_nanos();
+            MAX_PAUSE / 2 + Duration::from_nanos(u64::try_from(part).unwrap_or(0))
+        } else {
+            retry_in
+        };
         self.shortage = Some(Shortage {
-            until: now.later(retry_in),
+            until: now.later(pause),
             pace: retry_in / short.max(1),
         });
     }
