Take tokens of rate limits for operations

Cause: proxies sent every operation of a tenant, whatever its limit.

Change: the first statement of an operation takes a token before it looks for a server, waits for one for at most a fifth of the goal, or is refused as not run with the time to come back. Tokens come from the leader, which pulses name, on a stream that exists only while the plan has a limit.

--- a/components/proxy/src/caller.rs
+++ b/components/proxy/src/caller.rs
@@ -5,17 +5,13 @@
 
 use bytes::Buf as _;
 use link::io;
-use registry::plan::Freshness;
 use tokio::net::TcpStream;
 
 use crate::event::{Event, SessionKey};
 use crate::process::Loop;
 use crate::protocol::{Access, Invalid, Protocol, Request, State, Statement};
 use crate::refuse::Reason;
-use crate::session::{
-    Kind, MAX_PREPARED_NAMES, MAX_VARIABLES, Query, Route, Session, Stage, Transaction,
-};
-use crate::timer::Timer;
+use crate::session::{Kind, MAX_PREPARED_NAMES, MAX_VARIABLES, Query, Route, Session, Stage};
 use clock::Clock;
 
 /// Part of the route's timeout that a statement may wait before it is refused, in percent. A
@@ -90,6 +86,7 @@
             return;
         };
         if let Some(query) = session.query {
+            self.return_token(key, &query);
             self.abandon(&query);
             self.log_outcome(now, &query, "caller_gone", None);
         }
@@ -243,7 +240,7 @@
         }
     }
 
-    fn acknowledge(&mut self, key: SessionKey) {
+    pub(crate) fn acknowledge(&mut self, key: SessionKey) {
         if let Some(session) = self.sessions.get_mut(key) {
             P::encode_complete(&mut session.out);
             let state = session.state();
@@ -268,7 +265,7 @@
     ///
     /// # Errors
     /// Returns why the session may not begin an operation.
-    fn route(&self, key: SessionKey) -> Result<Route, Reason> {
+    pub(crate) fn route(&self, key: SessionKey) -> Result<Route, Reason> {
         let session = self.sessions.get(key).ok_or(Reason::NoDatabase)?;
         let database = session.database.as_deref().ok_or(Reason::NoDatabase)?;
         let tenant = self.tenant(key, database)?;
@@ -285,54 +282,13 @@
     }
 
     /// Rejects the start of an operation. A session whose key was withdrawn ends.
-    fn reject_operation(&mut self, key: SessionKey, reason: Reason) {
+    pub(crate) fn reject_operation(&mut self, key: SessionKey, reason: Reason) {
         self.reject(key, reason);
         if reason == Reason::KeyUnknown {
             self.end_session(key);
         }
     }
 
-    /// Begins a transaction. A server is chosen at its first statement.
-    fn begin(&mut self, key: SessionKey, read_only: bool) {
-        let route = match self.route(key) {
-            Ok(route) => route,
-            Err(reason) => return self.reject_operation(key, reason),
-        };
-        let received_moment = self.clock.moment();
-        if let Some(session) = self.sessions.get_mut(key) {
-            // Routes for aged reads carry no writes, and transactions on replicas relieve the
-            // primary.
-            let aged = matches!(route.freshness, Freshness::Aged(_));
-            let assumed_read_only = !read_only && aged && !session.assumption_failed;
-            session.transaction = Some(Transaction {
-                route,
-                read_only: read_only || assumed_read_only,
-                assumed_read_only,
-                received_moment,
-                conn: None,
-                has_run: false,
-                has_written: false,
-                failed: false,
-                idle_deadline: None,
-            });
-        }
-        self.start_idle_timeout(key);
-        self.acknowledge(key);
-    }
-
-    /// Starts the limit on the time that a transaction may be idle.
-    pub(crate) fn start_idle_timeout(&mut self, key: SessionKey) {
-        let Some(limit) = self.plan.idle_limit else {
-            return;
-        };
-        let until = crate::process::now() + limit;
-        let session = self.sessions.get_mut(key);
-        if let Some(transaction) = session.and_then(|session| session.transaction.as_mut()) {
-            transaction.idle_deadline = Some(until);
-            self.timers.add(until, Timer::Session(key));
-        }
-    }
-
     /// Creates a query for a statement and looks for a server.
     fn start_query(&mut self, now: Instant, key: SessionKey, id: &str, text: &str, kind: Kind) {
         let transaction = self.sessions.get(key).and_then(|s| s.transaction.as_ref());
@@ -369,27 +325,18 @@
             hedge_at: None,
             retry_at: None,
             stage: Stage::Waiting,
+            has_token: false,
             after: None,
             tried_servers: Vec::new(),
             retry_cause: None,
         });
         self.services[route.service].last_request_at = Some(now);
         self.retry_budget.on_request(now);
-        if !self.dispatch(now, key) {
+        if self.admit(now, key) && !self.dispatch(now, key) {
             self.enqueue(now, key);
         }
     }
 
-    /// Fails a transaction that was assumed to be read-only but writes. It is rolled back, and
-    /// later transactions of the session begin on the primary.
-    fn fail_assumed_read_only(&mut self, now: Instant, key: SessionKey) {
-        if let Some(session) = self.sessions.get_mut(key) {
-            session.assumption_failed = true;
-        }
-        self.fail_transaction(now, key);
-        self.reject(key, Reason::NotReadOnly);
-    }
-
     /// How long a statement may wait before it is refused.
     fn wait_limit(&self, now: Instant, route: &Route) -> Duration {
         let service = &self.services[route.service];
--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -304,6 +304,8 @@
                 self.cancel_unsent(now, key);
                 self.refuse_unsent(now, key, reason);
             }
+            // The rate limits end its wait.
+            Stage::Unadmitted => {}
             Stage::Sent(_) => self.on_unanswered(now, key),
         }
     }
--- a/components/proxy/src/event.rs
+++ b/components/proxy/src/event.rs
@@ -33,6 +33,11 @@
     LenderDialed(SocketAddr, u64, Option<mpsc::Sender<wire::Borrow>>),
     /// A message of a lender, or the end of its stream, with the number of the dial.
     Lender(SocketAddr, u64, link::Event<wire::Lend>),
+    /// Result of dialing the issuer of rate limit tokens, with the number of the dial; `None` if it
+    /// failed.
+    IssuerDialed(u64, Option<mpsc::Sender<wire::Claim>>),
+    /// A message of the issuer, or the end of its stream, with the number of the dial.
+    Issuer(u64, link::Event<wire::Issue>),
     /// A proxy that borrows connections opened the stream with this number.
     BorrowerAccepted(u64, mpsc::Sender<wire::Lend>),
     /// A message of a borrower, or the end of its stream, with the number of the stream.
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -26,6 +26,7 @@
 mod log_limit;
 mod metrics;
 mod process;
+mod rate;
 mod refuse;
 mod server;
 mod service;
@@ -34,6 +35,7 @@
 mod subscribe;
 mod sync;
 mod timer;
+mod transaction;
 
 pub use process::run;
 pub use protocol::Protocol;
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -21,6 +21,7 @@
 use crate::log_limit::Limiter;
 use crate::metrics::Set;
 use crate::protocol::{Access, Protocol};
+use crate::rate::Rates;
 use crate::server::{Conn, Server};
 use crate::service::Service;
 use crate::session::Session;
@@ -64,6 +65,7 @@
     /// Tenants of the plan, and of earlier ones.
     pub(crate) directory: Directory,
     pub(crate) unconfirmed: Unconfirmed,
+    pub(crate) rates: Rates,
     pub(crate) sessions: SlotMap<SessionKey, Session>,
     pub(crate) conns: SlotMap<ConnKey, Conn>,
     /// Servers. The index of a server stays valid after it has been removed.
@@ -205,6 +207,7 @@
             plan: Plan::default(),
             directory: Directory::default(),
             unconfirmed: Unconfirmed::default(),
+            rates: Rates::new(now),
             sessions: SlotMap::with_key(),
             conns: SlotMap::with_key(),
             servers: Vec::new(),
@@ -246,6 +249,7 @@
         }
         self.on_timers(now);
         self.process_due(now);
+        self.claim_tokens(now);
         self.return_idle_loans(now);
         self.withdraw_requests();
         self.flush(now);
@@ -276,6 +280,8 @@
                 self.on_lender_dialed(now, address, dial, out);
             }
             Event::Lender(address, dial, event) => self.on_lender(now, address, dial, event),
+            Event::IssuerDialed(dial, out) => self.on_issuer_dialed(now, dial, out),
+            Event::Issuer(dial, event) => self.on_issuer(now, dial, event),
             Event::BorrowerAccepted(stream, out) => self.on_borrower_accepted(now, stream, out),
             Event::Borrower(stream, event) => self.on_borrower(now, stream, event),
             Event::Http(request) => self.on_http_request(now, request),
@@ -290,6 +296,7 @@
                 Timer::Session(key) => self.on_session_due(now, key),
                 Timer::Service(index) => self.due_services.push(index),
                 Timer::Subscription => self.maintain_subscription(now),
+                Timer::Rate => self.on_rate_due(now),
                 Timer::Maintenance => {
                     self.timers
                         .add(now + MAINTENANCE_INTERVAL, Timer::Maintenance);
@@ -324,6 +331,7 @@
         self.probe_unusable(now);
         self.move_sessions(now);
         self.maintain_subscription(now);
+        self.maintain_issuer(now);
         let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         self.metrics.sessions.set(gauge(self.sessions.len()));
         let waiting = self
--- a/components/proxy/src/refuse.rs
+++ b/components/proxy/src/refuse.rs
@@ -1,5 +1,6 @@
 //! Refusals: answers to callers whose statements were not run or have an unknown outcome.
 
+use std::borrow::Cow;
 use std::time::Instant;
 
 use crate::event::SessionKey;
@@ -28,6 +29,13 @@
     KeyUnknown,
     /// Whether a tenant holds the caller's key can't be told without a coordinator.
     KeyUnconfirmed,
+    /// The tenant has used up its rate limit.
+    RateLimit {
+        /// Time after which it may have a token.
+        retry_in_ms: u64,
+    },
+    /// The tenant's rate limit can't be told without contact to its issuer.
+    RateUnknown,
     /// The message is invalid, or not allowed in the state of the session.
     Malformed,
     /// A message is too large, or the session has too many variables or prepared names.
@@ -59,6 +67,8 @@
             Self::NoDatabase => "no_database",
             Self::KeyUnknown => "key_unknown",
             Self::KeyUnconfirmed => "key_unconfirmed",
+            Self::RateLimit { .. } => "rate_limit",
+            Self::RateUnknown => "rate_unknown",
             Self::Malformed => "malformed",
             Self::TooLarge => "too_large",
             Self::NotPrepared => "not_prepared",
@@ -79,6 +89,8 @@
             | Self::NoPrimary
             | Self::Exhausted
             | Self::KeyUnconfirmed
+            | Self::RateLimit { .. }
+            | Self::RateUnknown
             | Self::Stopping => Code::Busy,
             Self::NoDatabase => Code::NoDatabase,
             Self::KeyUnknown => Code::Denied,
@@ -91,7 +103,18 @@
         }
     }
 
-    /// Error message for the caller.
+    /// Error message for the caller, with the time to come back if that is known.
+    #[must_use]
+    pub fn message(self) -> Cow<'static, str> {
+        match self {
+            Self::RateLimit { retry_in_ms } => {
+                format!("{}; retry after {retry_in_ms} ms", self.text()).into()
+            }
+            _ => self.text().into(),
+        }
+    }
+
+    /// Error message for the caller, without figures.
     #[must_use]
     pub fn text(self) -> &'static str {
         match self {
@@ -103,6 +126,8 @@
             Self::NoDatabase => "no such database",
             Self::KeyUnknown => "no tenant holds this key",
             Self::KeyUnconfirmed => "not run: the key can't be checked at present",
+            Self::RateLimit { .. } => "not run: the tenant's rate limit is used up",
+            Self::RateUnknown => "not run: the tenant's rate limit can't be checked at present",
             Self::Malformed => "not run: the statement can't be read or does not fit here",
             Self::TooLarge => "not run: too large or too many",
             Self::NotPrepared => "not run: no such prepared statement",
@@ -120,7 +145,7 @@
     pub(crate) fn reject(&mut self, key: SessionKey, reason: Reason) {
         self.metrics.common.refusals.add(reason.label());
         if let Some(session) = self.sessions.get_mut(key) {
-            P::encode_error(&mut session.out, reason.code(), reason.text());
+            P::encode_error(&mut session.out, reason.code(), &reason.message());
             let state = session.state();
             P::encode_ready(&mut session.out, state, None);
             self.dirty_sessions.push(key);
@@ -136,6 +161,10 @@
         let Some(query) = session.query.take() else {
             return;
         };
+        self.return_token(key, &query);
+        let Some(session) = self.sessions.get_mut(key) else {
+            return;
+        };
         if reason == Reason::OutcomeUnknown {
             self.metrics.unknown_outcomes.add(query.kind.label());
         } else {
@@ -146,7 +175,7 @@
         } else if let Some(transaction) = &mut session.transaction {
             transaction.failed = true;
         }
-        P::encode_error(&mut session.out, reason.code(), reason.text());
+        P::encode_error(&mut session.out, reason.code(), &reason.message());
         let state = session.state();
         P::encode_ready(&mut session.out, state, None);
         self.dirty_sessions.push(key);
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -55,6 +55,8 @@
     pub has_run: bool,
     /// One of its writes has run.
     pub has_written: bool,
+    /// It has a token of its tenant's rate limit, or needs none.
+    pub admitted: bool,
     /// It can only be ended.
     pub failed: bool,
     /// When it may be ended for being idle.
@@ -133,6 +135,8 @@
 /// Progress of a query.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
+    /// It waits for a token of its tenant's rate limit, and for no server yet.
+    Unadmitted,
     /// It waits for a connection, a primary, or the end of a retry delay.
     Waiting,
     /// A connection is being prepared for it; it has not been sent.
@@ -165,6 +169,8 @@
     /// Earliest time of the next attempt.
     pub retry_at: Option<Instant>,
     pub stage: Stage,
+    /// It is the statement for which the token of its operation was taken.
+    pub has_token: bool,
     /// Position that the server must have applied.
     pub after: Option<Point>,
     /// Indices of the servers on which it was tried.
@@ -206,7 +212,7 @@
                 let pause = self.retry_at.unwrap_or(self.wait_deadline);
                 pause.min(self.wait_deadline)
             }
-            Stage::Preparing(_) => self.wait_deadline,
+            Stage::Unadmitted | Stage::Preparing(_) => self.wait_deadline,
             Stage::Sent(_) => self.hedge_at.unwrap_or(self.deadline).min(self.deadline),
         }
     }
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -243,7 +243,7 @@
                 current,
                 entries,
                 coordinators,
-                leader: _,
+                leader,
             } => {
                 if let State::Up {
                     silence_deadline, ..
@@ -264,6 +264,7 @@
                     .filter_map(|address| address.parse().ok());
                 self.subscription.coordinators = known.collect();
                 if current {
+                    self.set_issuer(now, &leader);
                     self.confirm_keys();
                 }
             }
@@ -279,6 +280,7 @@
                     );
                     self.registry_changed = true;
                     self.on_plan_changed();
+                    self.on_limits_changed(now);
                 }
                 Err(error) => self.on_invalid_message(now, &error),
             },
--- a/components/proxy/src/tenant.rs
+++ b/components/proxy/src/tenant.rs
@@ -47,6 +47,12 @@
         id
     }
 
+    /// The id of a tenant of the plan or of an earlier one.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<Id> {
+        self.ids.get(name).copied()
+    }
+
     #[must_use]
     pub fn name(&self, id: Id) -> &str {
         &self.names[id.0]
--- a/components/proxy/src/timer.rs
+++ b/components/proxy/src/timer.rs
@@ -15,6 +15,8 @@
     Service(usize),
     /// The stream to a coordinator.
     Subscription,
+    /// The rate limits of tenants, and the stream to their issuer.
+    Rate,
     /// Periodic maintenance of connections, primaries and streams.
     Maintenance,
 }
