Draw faults of messages, holders and the issuer

Add a property test of 200 cases with a fixed seed, which draws lost, doubled and late messages, cuts, deaths, suspensions, operations given back, changes of the issuer and of the limit, and counts the operations in every window of 5 s.

--- /dev/null
+++ b/components/ratelimit/tests/faults.rs
@@ -0,0 +1,215 @@
+//! Random faults of messages, holders and the issuer. Guards against any order of them in which the
+//! operations started in a window exceed what the limit tolerates.
+
+mod sim;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+use sim::{Faults, Sim, rate};
+
+const NODES: usize = 5;
+const WINDOW: u64 = 5000;
+const SLACK: u64 = 20;
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// Operations at a multiple of the limit, at all holders or one.
+    Load {
+        factor: f64,
+        ms: u64,
+        node: Option<usize>,
+    },
+    Burst {
+        node: usize,
+        operations: u32,
+    },
+    Messages {
+        lost: f64,
+        doubled: f64,
+        late: f64,
+        late_by: u64,
+    },
+    Suspend {
+        node: usize,
+        ms: u64,
+    },
+    Cut {
+        node: usize,
+        ms: u64,
+    },
+    Disconnect {
+        node: usize,
+        heard: bool,
+    },
+    Kill {
+        node: usize,
+        heard: bool,
+    },
+    /// A server that hung turns out to have run none of the operations.
+    Hang {
+        node: usize,
+        ms: u64,
+    },
+    ChangeIssuer,
+    Restart,
+    SetRate {
+        per_second: u64,
+        burst: u64,
+    },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let node = 0..NODES;
+    prop_oneof![
+        8 => (0.2..6.0, 100_u64..3000, prop::option::of(node.clone()))
+            .prop_map(|(factor, ms, node)| Event::Load { factor, ms, node }),
+        3 => (node.clone(), 1_u32..150)
+            .prop_map(|(node, operations)| Event::Burst { node, operations }),
+        2 => (0.0..0.3, 0.0..0.3, 0.0..0.5, 0_u64..6000).prop_map(|(lost, doubled, late, late_by)| {
+            Event::Messages { lost, doubled, late, late_by }
+        }),
+        2 => (node.clone(), 10_u64..7000).prop_map(|(node, ms)| Event::Suspend { node, ms }),
+        2 => (node.clone(), 10_u64..7000).prop_map(|(node, ms)| Event::Cut { node, ms }),
+        1 => (node.clone(), any::<bool>())
+            .prop_map(|(node, heard)| Event::Disconnect { node, heard }),
+        2 => (node.clone(), any::<bool>()).prop_map(|(node, heard)| Event::Kill { node, heard }),
+        1 => (node, 10_u64..3000).prop_map(|(node, ms)| Event::Hang { node, ms }),
+        1 => Just(Event::ChangeIssuer),
+        1 => Just(Event::Restart),
+        1 => limits().prop_map(|(per_second, burst)| Event::SetRate { per_second, burst }),
+    ]
+}
+
+fn limits() -> impl Strategy<Value = (u64, u64)> {
+    (1_u64..80, 1_u64..120)
+}
+
+struct Model {
+    sim: Sim,
+    rng: SmallRng,
+    /// Limits and since when they hold, in order.
+    limits: Vec<(u64, u64, u64)>,
+}
+
+impl Model {
+    fn new((per_second, burst): (u64, u64), seed: u64) -> Self {
+        let rates = vec![(0, rate(per_second, burst))];
+        Self {
+            sim: Sim::new(NODES, SLACK, rates, seed),
+            rng: SmallRng::seed_from_u64(seed),
+            limits: vec![(0, per_second, burst)],
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        let sim = &mut self.sim;
+        match event {
+            Event::Load { factor, ms, node } => self.load(factor, ms, node),
+            Event::Burst { node, operations } => {
+                (0..operations).for_each(|_| sim.arrive(node, 0, 100));
+            }
+            Event::Messages {
+                lost,
+                doubled,
+                late,
+                late_by,
+            } => {
+                sim.faults = Faults {
+                    lost,
+                    doubled,
+                    late,
+                    late_by,
+                };
+            }
+            Event::Suspend { node, ms } => sim.suspend(node, ms),
+            Event::Cut { node, ms } => sim.cut(node, ms),
+            Event::Disconnect { node, heard } => sim.disconnect(node, heard),
+            Event::Kill { node, heard } => sim.kill(node, heard),
+            Event::Hang { node, ms } => sim.hang(node, ms),
+            Event::ChangeIssuer => sim.change_issuer(),
+            Event::Restart => sim.issuer.restart(sim::at(sim.now)),
+            Event::SetRate { per_second, burst } => {
+                sim.set_rates(vec![(0, rate(per_second, burst))]);
+                self.limits.push((sim.now, per_second, burst));
+            }
+        }
+        self.sim.step();
+    }
+
+    fn load(&mut self, factor: f64, ms: u64, node: Option<usize>) {
+        let (_, per_second, _) = self.limits[self.limits.len() - 1];
+        let per_ms = per_second as f64 * factor / 1000.0;
+        let mut owed = 0.0;
+        for _ in 0..ms {
+            self.sim.step();
+            owed += per_ms;
+            while owed >= 1.0 {
+                owed -= 1.0;
+                let any = self.rng.random_range(0..NODES);
+                self.sim.arrive(node.unwrap_or(any), 0, 100);
+            }
+        }
+    }
+
+    /// Operations tolerated in the window from `start`, in tenths. A limit that was replaced holds
+    /// for one lifetime more.
+    fn bound(&self, start: u64) -> u64 {
+        let ends = self.limits.iter().skip(1).map(|(since, ..)| since + WINDOW);
+        let ends = ends.chain([u64::MAX]);
+        let in_force = self.limits.iter().zip(ends);
+        let in_force =
+            in_force.filter(|((since, ..), end)| *since < start + WINDOW && *end > start);
+        let (rates, bursts): (Vec<u64>, Vec<u64>) = in_force
+            .map(|((_, rate, burst), _)| (*rate, *burst))
+            .unzip();
+        let rate = rates.into_iter().max().unwrap_or(0);
+        let burst = bursts.into_iter().max().unwrap_or(0);
+        (rate * WINDOW / 1000 + burst) * 11 + SLACK * 10
+    }
+
+    /// Checks every window that begins with an operation.
+    fn check(&self) -> Result<(), TestCaseError> {
+        let admitted = self.sim.admitted_of(0);
+        for (first, start) in admitted.iter().enumerate() {
+            let count = admitted[first..].partition_point(|ms| *ms < start + WINDOW) as u64;
+            let bound = self.bound(*start);
+            prop_assert!(
+                count * 10 <= bound,
+                "{count} operations from {start} ms, bound {} tenths, limits {:?}",
+                bound,
+                self.limits
+            );
+        }
+        Ok(())
+    }
+}
+
+fn config() -> Config {
+    Config {
+        cases: 200,
+        max_shrink_iters: 300,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(20_261_206),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_window_exceeds_the_limit(
+        limits in limits(),
+        seed in any::<u64>(),
+        events in prop::collection::vec(event(), 1..40),
+    ) {
+        let mut model = Model::new(limits, seed);
+        for event in events {
+            model.apply(event);
+        }
+        model.check()?;
+    }
+}
--- a/components/ratelimit/tests/sim/mod.rs
+++ b/components/ratelimit/tests/sim/mod.rs
@@ -1,5 +1,7 @@
 //! One issuer and its holders on a simulated network, in steps of a millisecond.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use std::time::Duration;
 
 use clock::Moment;
@@ -65,14 +67,15 @@
     nodes: Vec<Node>,
     messages: Vec<Message>,
     rng: SmallRng,
-    /// Moment and tenant of each operation that was admitted.
-    pub admitted: Vec<(u64, u8)>,
+    /// Moment, tenant and holder of each operation that was admitted.
+    pub admitted: Vec<(u64, u8, usize)>,
     /// Moment and retry time of each operation that was refused.
     pub refused: Vec<(u64, Duration)>,
     /// Number of claims and of the needs in them.
     pub claims: usize,
     pub needs: usize,
-    waiters: Vec<u8>,
+    /// Tenant and holder of each operation that asked for a token.
+    waiters: Vec<(u8, usize)>,
 }
 
 impl Sim {
@@ -119,8 +122,8 @@
         }
         let deadline = at(self.now + wait);
         let admission = found.holder.take(at(self.now), tenant, waiter, deadline);
-        self.waiters.push(tenant);
-        self.record(tenant, admission);
+        self.waiters.push((tenant, node));
+        self.record((tenant, node), admission);
     }
 
     /// One millisecond passes.
@@ -162,6 +165,25 @@
         self.nodes[node] = self.node(self.nodes[node].stream);
     }
 
+    /// The operations that a holder admitted in the last `ms` never reached a server.
+    pub fn hang(&mut self, node: usize, ms: u64) {
+        if self.nodes[node].asleep_until > self.now {
+            return;
+        }
+        let from = self.now.saturating_sub(ms);
+        let hung = |entry: &mut (u64, u8, usize)| entry.0 >= from && entry.2 == node;
+        for (_, tenant, _) in self.admitted.extract_if(.., hung) {
+            self.nodes[node].holder.give_back(at(self.now), tenant);
+        }
+    }
+
+    /// All coordinators and proxies learn of other limits.
+    pub fn set_rates(&mut self, rates: Vec<(u8, Rate)>) {
+        self.rates = rates;
+        let rates = self.rates.iter().copied();
+        self.issuer.set_rates(at(self.now), rates);
+    }
+
     /// Another issuer takes over.
     pub fn change_issuer(&mut self) {
         self.issuer = Issuer::new(at(self.now), limit(self.slack));
@@ -172,13 +194,13 @@
 
     /// Moments of the admitted operations of a tenant, in order.
     pub fn admitted_of(&self, tenant: u8) -> Vec<u64> {
-        let of_tenant = self.admitted.iter().filter(|(_, of)| *of == tenant);
-        of_tenant.map(|(ms, _)| *ms).collect()
+        let of_tenant = self.admitted.iter().filter(|(_, of, _)| *of == tenant);
+        of_tenant.map(|(ms, ..)| *ms).collect()
     }
 
-    fn record(&mut self, tenant: u8, admission: Admission) {
+    fn record(&mut self, (tenant, node): (u8, usize), admission: Admission) {
         match admission {
-            Admission::Go => self.admitted.push((self.now, tenant)),
+            Admission::Go => self.admitted.push((self.now, tenant, node)),
             Admission::Wait => {}
             Admission::Refused { retry_in } => self.refused.push((self.now, retry_in)),
         }
@@ -186,8 +208,8 @@
 
     fn settle(&mut self, settled: Vec<Settled<u64>>) {
         for result in settled {
-            let tenant = self.waiters[usize::try_from(result.waiter).unwrap()];
-            self.record(tenant, result.admission);
+            let waiter = self.waiters[usize::try_from(result.waiter).unwrap()];
+            self.record(waiter, result.admission);
         }
     }
 
