--- a/components/ratelimit/tests/faults.rs
+++ b/components/ratelimit/tests/faults.rs
@@ -52,6 +52,18 @@
         node: usize,
         ms: u64,
     },
+    /// Holders that have claimed tokens for a peak are suspended, and spend them when others have the
+    /// level of a bucket that was left alone since.
+    Hoard {
+        operations: u32,
+        idle: u64,
+        suspended: u64,
+        issuer: IssuerFault,
+    },
+    /// A server that hangs at a peak runs nothing of it, and all callers come back.
+    HangAtPeak {
+        ms: u64,
+    },
     ChangeIssuer,
     Restart,
     SetRate {
@@ -60,6 +72,30 @@
     },
 }
 
+/// What happens to the issuer while holders are suspended.
+#[derive(Clone, Copy, Debug)]
+enum IssuerFault {
+    None,
+    /// It learns that the streams have ended.
+    Hears,
+    Changes,
+}
+
+fn hoard() -> impl Strategy<Value = Event> {
+    let issuer = prop_oneof![
+        Just(IssuerFault::None),
+        Just(IssuerFault::Hears),
+        Just(IssuerFault::Changes)
+    ];
+    let parts = (50_u32..400, 0_u64..8000, 3500_u64..6500, issuer);
+    parts.prop_map(|(operations, idle, suspended, issuer)| Event::Hoard {
+        operations,
+        idle,
+        suspended,
+        issuer,
+    })
+}
+
 fn event() -> impl Strategy<Value = Event> {
     let node = 0..NODES;
     prop_oneof![
@@ -76,6 +112,8 @@
             .prop_map(|(node, heard)| Event::Disconnect { node, heard }),
         2 => (node.clone(), any::<bool>()).prop_map(|(node, heard)| Event::Kill { node, heard }),
         1 => (node, 10_u64..3000).prop_map(|(node, ms)| Event::Hang { node, ms }),
+        3 => hoard(),
+        1 => (500_u64..4000).prop_map(|ms| Event::HangAtPeak { ms }),
         1 => Just(Event::ChangeIssuer),
         1 => Just(Event::Restart),
         1 => limits().prop_map(|(per_second, burst)| Event::SetRate { per_second, burst }),
@@ -83,7 +121,7 @@
 }
 
 fn limits() -> impl Strategy<Value = (u64, u64)> {
-    (1_u64..80, 1_u64..120)
+    (1_u64..80, 1_u64..500)
 }
 
 struct Model {
@@ -128,6 +166,18 @@
             Event::Disconnect { node, heard } => sim.disconnect(node, heard),
             Event::Kill { node, heard } => sim.kill(node, heard),
             Event::Hang { node, ms } => sim.hang(node, ms),
+            Event::Hoard {
+                operations,
+                idle,
+                suspended,
+                issuer,
+            } => self.hoard(operations, idle, suspended, issuer),
+            Event::HangAtPeak { ms } => {
+                self.load(3.0, ms, Some(0));
+                self.sim.hang(0, ms);
+                (0..400).for_each(|_| self.sim.arrive(0, 0, 100));
+                self.load(3.0, WINDOW, None);
+            }
             Event::ChangeIssuer => sim.change_issuer(),
             Event::Restart => sim.issuer.restart(sim::at(sim.now)),
             Event::SetRate { per_second, burst } => {
@@ -153,6 +203,28 @@
         }
     }
 
+    fn hoard(&mut self, operations: u32, idle: u64, suspended: u64, issuer: IssuerFault) {
+        (0..idle).for_each(|_| self.sim.step());
+        for operation in 0..operations {
+            self.sim.arrive(operation as usize % NODES, 0, 100);
+            if operation % 4 == 0 {
+                self.sim.step();
+            }
+        }
+        (0..20).for_each(|_| self.sim.step());
+        (1..NODES).for_each(|node| self.sim.suspend(node, suspended));
+        match issuer {
+            IssuerFault::None => {}
+            IssuerFault::Hears => (1..NODES).for_each(|node| self.sim.disconnect(node, true)),
+            IssuerFault::Changes => self.sim.change_issuer(),
+        }
+        (0..suspended - 1).for_each(|_| self.sim.step());
+        for operation in 0..500 {
+            self.sim.arrive(operation % NODES, 0, 100);
+        }
+        self.load(2.0, 500, None);
+    }
+
     /// Operations tolerated in the window from `start`, in tenths. A limit that was replaced holds
     /// for one lifetime more.
     fn bound(&self, start: u64) -> u64 {
