--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -28,6 +28,7 @@
 mod log_limit;
 mod metrics;
 mod process;
+mod rate;
 mod refuse;
 mod server;
 mod service;
@@ -37,6 +38,7 @@
 mod sync;
 mod tenancy;
 mod timer;
+mod transaction;
 
 pub use process::run;
 pub use protocol::Protocol;
