Name the tenant in the log line of a statement

Cause: the cause of a tenant's refused statements could not be found in the logs.

Change: the line of a statement names the tenant.

--- a/components/proxy/src/refuse.rs
+++ b/components/proxy/src/refuse.rs
@@ -208,6 +208,7 @@
             request = query.id,
             service = service.name,
             kind = query.kind.label(),
+            tenant = query.route.tenant.map(|id| self.directory.name(id)),
             outcome,
             server = server.map(|index| self.servers[index].id.as_str()),
             primary,
