Count tokens at least as long as entries keep them

Entries keep tokens for 5 s and do not know rate_limit.window_s, so an issuer with a shorter window would forget tokens that are spent later. Refused operations also no longer earn retries of reads.

No test has a window below 5 s.

--- a/components/coordinator/src/rate.rs
+++ b/components/coordinator/src/rate.rs
@@ -22,6 +22,10 @@
 /// count suspended time, so another leader may issue tokens meanwhile.
 const SUSPENSION_PAUSE: Duration = Duration::from_secs(1);
 
+/// Lifetime of tokens at the entries, which do not know the coordinators' settings. The issuer must
+/// not forget tokens that an entry may still spend.
+const MIN_LIFETIME: Duration = Duration::from_secs(5);
+
 /// The issuer and what it needs besides.
 #[derive(Debug)]
 struct Office {
@@ -53,7 +57,7 @@
     pub fn start(&mut self, limit: settings::RateLimit, plan: &Plan) {
         let moment = Boot.moment();
         let limit = Limit {
-            lifetime: limit.window,
+            lifetime: limit.window.max(MIN_LIFETIME),
             slack: limit.slack,
         };
         self.office = Some(Office {
--- a/components/proxy/src/caller.rs
+++ b/components/proxy/src/caller.rs
@@ -331,9 +331,8 @@
             retry_cause: None,
         });
         self.services[route.service].last_request_at = Some(now);
-        self.retry_budget.on_request(now);
-        if self.admit(now, key) && !self.dispatch(now, key) {
-            self.enqueue(now, key);
+        if self.admit(now, key) {
+            self.start_admitted(now, key);
         }
     }
 
--- a/components/proxy/src/rate.rs
+++ b/components/proxy/src/rate.rs
@@ -17,8 +17,7 @@
 use crate::tenant;
 use crate::timer::Timer;
 
-/// Lifetime of tokens, after which the issuer no longer counts them. Invariant: at most the setting
-/// `rate_limit.window_s` of the coordinators.
+/// Lifetime of tokens. The issuer counts them for at least as long.
 const TOKEN_LIFETIME: Duration = Duration::from_secs(5);
 /// Part of the route's goal that an operation may wait for a token, in percent. A caller that is
 /// refused has the remaining time to try elsewhere.
@@ -254,7 +253,10 @@
     fn settle(&mut self, now: Instant, settled: &[Settled<SessionKey>]) {
         for Settled { waiter, admission } in settled {
             match admission {
-                Admission::Go => self.start_admitted(now, *waiter, true),
+                Admission::Go => {
+                    self.mark_admitted(*waiter, true);
+                    self.start_admitted(now, *waiter);
+                }
                 Admission::Wait => {}
                 Admission::Refused { retry_in } => {
                     let reason = self.rates.reason(*retry_in);
@@ -264,9 +266,9 @@
         }
     }
 
-    /// Looks for a server for an operation that waited for a token.
-    fn start_admitted(&mut self, now: Instant, key: SessionKey, has_token: bool) {
-        self.mark_admitted(key, has_token);
+    /// Looks for a server for a statement whose operation is admitted. Refused ones earn no retries.
+    pub(crate) fn start_admitted(&mut self, now: Instant, key: SessionKey) {
+        self.retry_budget.on_request(now);
         if !self.dispatch(now, key) {
             self.enqueue(now, key);
         }
