Re-evaluate borrowers that wait for a hanging connection

A borrower that was told to wait for a connection of its tenant was looked at again only when a connection became free. If that connection hung, it waited until its own time limit.

The maintenance pass serves such waiters again.

--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -338,6 +338,13 @@
                 self.due_services.push(index);
             }
         }
+        // A borrower may wait for a connection that was expected to become free and hangs.
+        let lending = self
+            .servers
+            .iter()
+            .filter(|server| server.has_tenant_waiters);
+        self.due_services
+            .extend(lending.map(|server| server.service));
     }
 
     /// Sends what the turn has produced, with one write per connection.
--- a/components/proxy/src/tenancy.rs
+++ b/components/proxy/src/tenancy.rs
@@ -51,28 +51,21 @@
         index: usize,
         key: SessionKey,
     ) -> Option<ConnKey> {
-        let (tenant, late) = self.waiter(now, key)?;
+        let waiting = self.waiting(now, index, key);
+        let position = waiting.iter().position(|(other, _)| *other == Some(key))?;
+        let waiters: Vec<_> = waiting.iter().map(|(_, waiter)| *waiter).collect();
+        let tenant = waiters[position].tenant;
         let connections = self.own_connections(index);
         let room = self.room(now, index);
         let times = &self.servers[index].times;
-        let own = (None, Waiter { tenant, late });
         // The statements are tried in their order, so this one may use what the earlier ones left.
-        let mut waiting = self.waiting(now, index, key);
-        waiting.retain(|(other, _)| *other != Some(key));
-        waiting.insert(0, own);
-        let waiters: Vec<_> = waiting.iter().map(|(_, waiter)| *waiter).collect();
-        let first = decide(now, &connections, &waiters, room, times)[0];
-        if matches!(first, Step::Use(_)) {
+        let mut own_first = waiters.clone();
+        own_first[..=position].rotate_right(1);
+        let step = decide(now, &connections, &own_first, room, times)[0];
+        if matches!(step, Step::Use(_)) {
             return self.take_idle_conn(key, index);
         }
         // Whether to open one depends on how many statements of the tenant go before this one.
-        let mut waiting = self.waiting(now, index, key);
-        let position = waiting.iter().position(|(other, _)| *other == Some(key));
-        let position = position.unwrap_or(waiting.len());
-        if position == waiting.len() {
-            waiting.push(own);
-        }
-        let waiters: Vec<_> = waiting.iter().map(|(_, waiter)| *waiter).collect();
         let step = decide(now, &connections, &waiters, room, times)[position];
         if self.may_open_one(index, tenant, &waiters) {
             self.open_by_step(now, index, tenant, step);
@@ -230,8 +223,8 @@
         busy.chain(idle).collect()
     }
 
-    /// Statements and borrowers that wait for a server, in their order. The session `key` counts in
-    /// any case.
+    /// Statements and borrowers that wait for a server, in their order. The session `key` is included
+    /// in any case.
     fn waiting(
         &self,
         now: Instant,
--- a/components/proxy/tests/lenders.rs
+++ b/components/proxy/tests/lenders.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use proxy::lenders::{LENDER_COUNT, Neighbour, preferred, ranked};
+use proxy::tenant::Directory;
 
 fn neighbours(count: u16) -> Vec<Neighbour> {
     let neighbour = |index: u16| Neighbour {
@@ -68,3 +69,37 @@
     let first = first.count();
     assert!((60..140).contains(&first), "{first} of 200");
 }
+
+// All proxies must ask the same lender for a tenant, which otherwise opens connections at both; and
+// the tenants must be spread over the lenders.
+#[test]
+fn first_lender_of_a_tenant_is_the_same_for_all_proxies() {
+    let lender = |instance, tenant: &str| preferred(instance, Some(tenant), "orders");
+    let tenants: Vec<String> = (0..200).map(|number| format!("tenant-{number}")).collect();
+    let same = tenants
+        .iter()
+        .all(|name| lender("entry-1", name) == lender("entry-2", name));
+    assert!(same);
+    let first = tenants.iter().filter(|name| lender("entry-1", name) == 0);
+    let first = first.count();
+    assert!((60..140).contains(&first), "{first} of 200");
+}
+
+// A faulty peer must neither exhaust the memory with names nor put control characters into a startup
+// message. Names of the plan stay valid beyond the bound.
+#[test]
+fn names_of_peers_are_checked_and_bounded() {
+    let mut directory = Directory::default();
+    assert_eq!(directory.named_by_peer("a b"), None);
+    assert_eq!(directory.named_by_peer("a\r\nQUERY"), None);
+    let known = directory.named_by_peer("tenant");
+    assert!(known.is_some());
+    let learned = (0..20_000).filter(|number| {
+        let id = directory.named_by_peer(&format!("peer-{number}"));
+        id.is_some()
+    });
+    assert!(learned.count() < 20_000);
+    assert_eq!(directory.named_by_peer("tenant"), known);
+    let planned = directory.id("planned");
+    assert_eq!(directory.name(planned), "planned");
+}
