Count waiting statements by tenant in a decision

Each decision compared every waiting statement with every other one, and a lender may have 400 waiting.

It keeps a count for each tenant instead, of which there are at most 85.

--- a/components/admission/src/tenancy.rs
+++ b/components/admission/src/tenancy.rs
@@ -157,10 +157,20 @@
             .iter()
             .filter_map(|connection| Some((connection.tenant, times.free_at(now, connection)?)))
             .collect(),
-        undecided: waiting.iter().map(|waiter| waiter.tenant).collect(),
+        undecided: Vec::new(),
         room,
         times,
     };
+    for waiter in waiting {
+        match decision
+            .undecided
+            .iter_mut()
+            .find(|(tenant, _)| *tenant == waiter.tenant)
+        {
+            Some((_, count)) => *count += 1,
+            None => decision.undecided.push((waiter.tenant, 1)),
+        }
+    }
     let has_connection = |tenant: T| connections.iter().any(|other| other.tenant == tenant);
     let goes_first = |waiter: &Waiter<T>| waiter.late && !has_connection(waiter.tenant);
     let mut order: Vec<usize> = (0..waiting.len()).collect();
@@ -168,8 +178,9 @@
     let mut steps = vec![Step::Wait; waiting.len()];
     for index in order {
         let tenant = waiting[index].tenant;
-        if let Some(position) = decision.undecided.iter().position(|other| *other == tenant) {
-            decision.undecided.swap_remove(position);
+        let mut counts = decision.undecided.iter_mut();
+        if let Some((_, count)) = counts.find(|(other, _)| *other == tenant) {
+            *count -= 1;
         }
         steps[index] = decision.next(tenant, goes_first(&waiting[index]));
     }
@@ -187,8 +198,9 @@
     held_by: Vec<T>,
     /// When connections become free.
     free_at: Vec<(T, Instant)>,
-    /// Tenants of the statements without a step so far.
-    undecided: Vec<T>,
+    /// Number of statements without a step so far, by tenant: there are up to 400 statements, but
+    /// at most 85 tenants.
+    undecided: Vec<(T, usize)>,
     room: Room,
     times: &'a Times,
 }
@@ -226,14 +238,11 @@
     fn may_use(&self, tenant: T) -> bool {
         let used = self.used_by.iter().filter(|other| **other == tenant);
         let used = used.count();
-        let mut excluded: Vec<T> = Vec::new();
-        for other in &self.undecided {
-            if *other != tenant && !self.used_by.contains(other) && !excluded.contains(other) {
-                excluded.push(*other);
-            }
-        }
+        let excluded = self.undecided.iter().filter(|(other, count)| {
+            *count > 0 && *other != tenant && !self.used_by.contains(other)
+        });
         let is_held = self.held_by.contains(&tenant);
-        let left = excluded.len().max(usize::from(is_held));
+        let left = excluded.count().max(usize::from(is_held));
         used == 0 || used + 1 + left <= self.room.limit
     }
 
@@ -257,8 +266,9 @@
     fn replaceable(&self, tenant: T, goes_first: bool) -> Option<usize> {
         let may_close = |connection: &Connection<K, T>| {
             // A tenant that may use no further connection does not need its idle ones.
-            let wanted =
-                self.undecided.contains(&connection.tenant) && self.may_use(connection.tenant);
+            let mut undecided = self.undecided.iter();
+            let waits = |(other, count): &(T, usize)| *other == connection.tenant && *count > 0;
+            let wanted = undecided.any(waits) && self.may_use(connection.tenant);
             // Late statements that replaced each other's new connections would all stay unserved.
             connection.tenant != tenant && (!wanted || (goes_first && !connection.unused))
         };
--- a/components/admission/tests/crest.rs
+++ b/components/admission/tests/crest.rs
@@ -114,6 +114,21 @@
     );
 }
 
+// A statement that cannot be served, as its tenant has no connection, must not hold up the others.
+#[test]
+fn queue_serves_the_next_statement_that_fits() {
+    let now = Instant::now();
+    let mut queue = Queue::default();
+    queue.push(1, now + WORK, "unserved");
+    queue.push(2, now - WORK, "late");
+    queue.push(2, now + WORK, "in time");
+    let fits = |item: &&str| *item != "unserved";
+    assert_eq!(queue.pop_where(now, fits), Some("in time"));
+    assert_eq!(queue.pop_where(now, fits), Some("late"));
+    assert_eq!(queue.pop_where(now, fits), None);
+    assert_eq!(queue.pop(now), Some("unserved"));
+}
+
 /// Rejections for each served statement while lenders share a server that is asked for more than it
 /// can serve. Each always has statements waiting.
 fn rejections_per_served(
