Count no pulse from before a suspension as contact

Cause: pulses that wait in the socket while the machine is suspended are read after it. They counted as contact at that time, so with keys.require_contact keys held for 3.8 s more although they might have been withdrawn.

--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -68,6 +68,8 @@
     current_until: Option<Instant>,
     /// When that pulse arrived, on the clock that also counts suspended time.
     last_contact: Option<Moment>,
+    /// When the stream was opened or brought its last pulse, on the same clock.
+    heard_at: Option<Moment>,
 }
 
 impl Subscription {
@@ -88,6 +90,7 @@
             proxy_count: INITIAL_PROXY_COUNT,
             current_until: None,
             last_contact: None,
+            heard_at: None,
         }
     }
 
@@ -195,6 +198,7 @@
         // The channel is new and has room.
         let _sent = out.try_send(open);
         self.subscription.complaints.clear();
+        self.subscription.heard_at = Some(self.clock.moment());
         self.subscription.state = State::Up {
             out,
             silence_deadline: now + SILENCE_TIMEOUT,
@@ -245,6 +249,15 @@
                 coordinators,
                 leader: _,
             } => {
+                let moment = self.clock.moment();
+                let heard_at = self.subscription.heard_at.replace(moment);
+                let silence = heard_at.map_or(Duration::ZERO, |at| moment.since(at));
+                if self.settings.keys.require_contact && silence >= SILENCE_TIMEOUT {
+                    // The pulse may have waited in the socket while this machine was suspended, and
+                    // then shows no contact at present.
+                    tracing::warn!("pulse after a silence; dialing another coordinator");
+                    return self.dial_after(now, Duration::ZERO);
+                }
                 if let State::Up {
                     silence_deadline, ..
                 } = &mut self.subscription.state
@@ -252,9 +265,8 @@
                 {
                     *silence_deadline = now + SILENCE_TIMEOUT;
                     self.subscription.current_until = Some(now + SILENCE_TIMEOUT);
-                    self.subscription.last_contact = Some(self.clock.moment());
+                    self.subscription.last_contact = Some(moment);
                 }
-
                 if current && entries != 0 && entries != self.subscription.proxy_count {
                     self.subscription.proxy_count = entries;
                     self.registry_changed = true;
