--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -3,10 +3,14 @@
 //! The monotonic clock stops while a machine is suspended. Data observed before the suspension
 //! would appear younger than it is, and a read could return data older than its caller accepts.
 
+mod suspension;
+
 use std::time::Duration;
 
 use rustix::time::{ClockId, clock_gettime};
 
+pub use suspension::Suspension;
+
 /// A point in time on a clock that also counts suspended time.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Moment(Duration);
@@ -23,6 +27,12 @@
         Self(self.0.saturating_sub(duration))
     }
 
+    /// The moment `duration` later.
+    #[must_use]
+    pub fn later(self, duration: Duration) -> Self {
+        Self(self.0.saturating_add(duration))
+    }
+
     /// Time from `earlier` to this moment; zero if `earlier` is after it.
     #[must_use]
     pub fn since(self, earlier: Self) -> Duration {
--- a/components/proxy/src/failure.rs
+++ b/components/proxy/src/failure.rs
@@ -3,12 +3,12 @@
 use std::time::{Duration, Instant};
 
 use crate::borrow::CAUSE_LENDER_LOST;
+use crate::conn::{Loan, Purpose};
 use crate::connection::CAUSE_REFUSED;
 use crate::event::{ConnKey, SessionKey};
 use crate::process::Loop;
 use crate::protocol::{Code, Command, Protocol};
 use crate::refuse::Reason;
-use crate::server::{Loan, Purpose};
 use crate::session::{Kind, Query, Stage, Urgency};
 use crate::timer::Timer;
 use clock::Clock;
@@ -89,7 +89,7 @@
         };
         query.retry_cause = Some(Code::Unknown);
         match query.stage {
-            Stage::Waiting => {}
+            Stage::Unadmitted | Stage::Waiting => {}
             Stage::Preparing(_) if !has_run => self.retry(now, key, Duration::ZERO),
             Stage::Preparing(_) => self.refuse(now, key, Reason::TransactionLost),
             Stage::Sent(_) if query.kind == Kind::Commit => {
@@ -251,7 +251,8 @@
             if !server.idle.is_empty() {
                 self.probe(now, primary);
             } else if server.has_room(now) {
-                self.open(now, primary, Urgency::first(now));
+                let tenant = self.directory.largest();
+                self.open(now, primary, tenant, Urgency::first(now));
             }
         }
     }
@@ -286,7 +287,7 @@
         if self.stop.is_some() || !self.is_cut_off(now, MOVE_SESSIONS_DELAY) {
             return;
         }
-        let idle = |key: &SessionKey| self.sessions.get(*key).is_some_and(|s| s.is_idle());
+        let idle = |key: &SessionKey| self.is_idle(*key);
         let idle: Vec<SessionKey> = self.sessions.keys().filter(idle).collect();
         let step = idle.len().div_ceil(MOVE_SESSIONS_DIVISOR);
         for key in idle.into_iter().take(step) {
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -15,13 +15,15 @@
 use tokio::task::spawn_local;
 
 use crate::borrow::Lenders;
+use crate::conn::Conn;
 use crate::event::{ConnKey, Event, SessionKey};
 use crate::identity::Unconfirmed;
 use crate::lend::Borrowers;
 use crate::log_limit::Limiter;
 use crate::metrics::Set;
 use crate::protocol::{Access, Protocol};
-use crate::server::{Conn, Server};
+use crate::rate::Rates;
+use crate::server::Server;
 use crate::service::Service;
 use crate::session::Session;
 use crate::stop::Stop;
@@ -64,6 +66,7 @@
     /// Tenants of the plan, and of earlier ones.
     pub(crate) directory: Directory,
     pub(crate) unconfirmed: Unconfirmed,
+    pub(crate) rates: Rates,
     pub(crate) sessions: SlotMap<SessionKey, Session>,
     pub(crate) conns: SlotMap<ConnKey, Conn>,
     /// Servers. The index of a server stays valid after it has been removed.
@@ -205,6 +208,7 @@
             plan: Plan::default(),
             directory: Directory::default(),
             unconfirmed: Unconfirmed::default(),
+            rates: Rates::new(now),
             sessions: SlotMap::with_key(),
             conns: SlotMap::with_key(),
             servers: Vec::new(),
@@ -246,6 +250,7 @@
         }
         self.on_timers(now);
         self.process_due(now);
+        self.claim_tokens(now);
         self.return_idle_loans(now);
         self.withdraw_requests();
         self.flush(now);
@@ -276,6 +281,8 @@
                 self.on_lender_dialed(now, address, dial, out);
             }
             Event::Lender(address, dial, event) => self.on_lender(now, address, dial, event),
+            Event::IssuerDialed(dial, out) => self.on_issuer_dialed(now, dial, out),
+            Event::Issuer(dial, event) => self.on_issuer(now, dial, event),
             Event::BorrowerAccepted(stream, out) => self.on_borrower_accepted(now, stream, out),
             Event::Borrower(stream, event) => self.on_borrower(now, stream, event),
             Event::Http(request) => self.on_http_request(now, request),
@@ -290,6 +297,7 @@
                 Timer::Session(key) => self.on_session_due(now, key),
                 Timer::Service(index) => self.due_services.push(index),
                 Timer::Subscription => self.maintain_subscription(now),
+                Timer::Rate => self.on_rate_due(now),
                 Timer::Maintenance => {
                     self.timers
                         .add(now + MAINTENANCE_INTERVAL, Timer::Maintenance);
@@ -324,6 +332,7 @@
         self.probe_unusable(now);
         self.move_sessions(now);
         self.maintain_subscription(now);
+        self.maintain_issuer(now);
         let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         self.metrics.sessions.set(gauge(self.sessions.len()));
         let waiting = self
@@ -337,6 +346,13 @@
                 self.due_services.push(index);
             }
         }
+        // A borrower may wait for a connection that was expected to become free and hangs.
+        let lending = self
+            .servers
+            .iter()
+            .filter(|server| server.has_tenant_waiters);
+        self.due_services
+            .extend(lending.map(|server| server.service));
     }
 
     /// Sends what the turn has produced, with one write per connection.
