Choose lenders for each server in its failure domain

Cause: with tenants, eight proxies hold an eighth of a server's connections each, so that a tenant's connections are rarely found again. Change: while the plan has tenants, coordinators send the proxies of all domains to every proxy, and a server's connections are held by two proxies of its domain, half each and none beyond. All others borrow; if no lender and no stand-in can be asked, the server counts as unreachable until one can be dialed again. A stand-in lends only while both lenders are lost. Without tenants nothing changes.

--- a/components/coordinator/src/lib.rs
+++ b/components/coordinator/src/lib.rs
@@ -8,6 +8,7 @@
 mod changes;
 mod event;
 mod leadership;
+mod lists;
 mod log;
 mod membership;
 mod metrics;
--- a/components/coordinator/src/log.rs
+++ b/components/coordinator/src/log.rs
@@ -148,8 +148,10 @@
             .context("decode the registry in the snapshot")?;
         self.applied_index = snapshot.position.index;
         self.snapshot_index = self.applied_index;
-        self.plan = read_plan::<A>(&self.registry);
-        self.subscribers.resend_all(&self.registry, &self.plan);
+        let plan = read_plan::<A>(&self.registry);
+        self.replace_plan(plan, |this, _| {
+            this.subscribers.resend_all(&this.registry, &this.plan);
+        });
         Ok(())
     }
 
@@ -248,10 +250,11 @@
             return;
         }
         let next = read_plan::<A>(&self.registry);
-        let change = next.change_from(&self.plan);
-        self.plan = next;
-        self.rates.set_plan(&self.plan);
-        self.subscribers.publish(&wire::Publish::Plan(change));
+        self.replace_plan(next, |this, earlier| {
+            let change = this.plan.change_from(&earlier);
+            this.rates.set_plan(&this.plan);
+            this.subscribers.publish(&wire::Publish::Plan(change));
+        });
     }
 
     /// Takes a snapshot if no log entry was applied for a while.
--- a/components/coordinator/src/neighbours.rs
+++ b/components/coordinator/src/neighbours.rs
@@ -1,5 +1,6 @@
 //! The running entries, collected from the lists that all coordinators send of their streams. Entries
-//! of a failure domain lend each other connections and must agree on the lenders.
+//! lend each other connections, across failure domains if the plan has tenants, and must agree on the
+//! lenders.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -102,6 +103,25 @@
         changed
     }
 
+    /// Like [`Self::update`], but returns the list of all failure domains if it has changed.
+    pub fn update_all(&mut self, now: Instant, own: Vec<Neighbour>) -> Option<Vec<Neighbour>> {
+        let before = self.published.clone();
+        self.update(now, own);
+        (self.published != before).then(|| self.all())
+    }
+
+    /// The published lists of all failure domains as one.
+    #[must_use]
+    pub fn all(&self) -> Vec<Neighbour> {
+        self.published.values().flatten().cloned().collect()
+    }
+
+    /// The published list of each failure domain.
+    #[must_use]
+    pub fn by_domain(&self) -> &BTreeMap<String, Vec<Neighbour>> {
+        &self.published
+    }
+
     /// The published list of a failure domain.
     #[must_use]
     pub fn in_domain(&self, domain: &str) -> Option<&Vec<Neighbour>> {
--- a/components/coordinator/src/requests.rs
+++ b/components/coordinator/src/requests.rs
@@ -312,7 +312,7 @@
                 // serve with the last known state, and subscribes to another coordinator unless a
                 // pulse says that the state is current.
                 tracing::info!(entry = instance, "entry subscribed");
-                let list = self.neighbours.in_domain(&domain).cloned();
+                let list = self.list_for(&domain);
                 let entry = wire::Neighbour {
                     instance,
                     domain,
@@ -367,20 +367,6 @@
         }
     }
 
-    /// Sends the list of the subscribed entries to the other instances, and changed lists of failure
-    /// domains to the entries in them.
-    pub(crate) fn publish_entries(&mut self, now: Instant) {
-        let own = self.subscribers.entries();
-        if let Some(entries) = self.neighbours.next_message(now, &own) {
-            let message = cluster::convert::entries(self.node.identity(), entries);
-            self.peers.send_all(&message);
-        }
-        for (domain, entries) in self.neighbours.update(now, own) {
-            tracing::info!(domain, entries = entries.len(), "list of entries changed");
-            self.subscribers.publish_to_domain(&domain, &entries);
-        }
-    }
-
     /// Tells the entries whether the state of this instance is current.
     pub(crate) fn publish_pulse(&mut self, now: Instant) {
         let coordinators = self.roster.advertised_addresses(now, self.node.members());
--- a/components/proxy/src/borrow.rs
+++ b/components/proxy/src/borrow.rs
@@ -14,7 +14,8 @@
 
 use crate::conn::{Conn, Loan};
 use crate::event::{ConnKey, Event};
-use crate::lenders::{BACKUP_LENDER_COUNT, LENDER_COUNT, Neighbour, preferred, ranked};
+use crate::lender_choice::Choice;
+use crate::lenders::Neighbour;
 use crate::process::Loop;
 use crate::protocol::Protocol;
 use crate::session::Urgency;
@@ -23,49 +24,42 @@
 /// Cause of a lost loan that says nothing about the server.
 pub const CAUSE_LENDER_LOST: &str = "lender_lost";
 /// Delay before a lender is dialed again.
-const REDIAL_DELAY: Duration = Duration::from_millis(500);
-/// A lender with open loans that sends nothing for this long counts as lost. It sends several
-/// pulses in this time.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
+pub(crate) const REDIAL_DELAY: Duration = Duration::from_millis(500);
 /// How long a lender is skipped after it denied a loan without a failure of the server.
 const DENIED_PAUSE: Duration = Duration::from_millis(500);
 /// Capacity of the queue of messages to a lender.
 const STREAM_QUEUE_LEN: usize = 1024;
 
 #[derive(Debug)]
-enum State {
+pub(crate) enum State {
     /// Holds the time from which it may be dialed again.
     Down(Instant),
     Dialing,
     Up(mpsc::Sender<Borrow>),
 }
 
-/// Result of the search for a lender.
-#[derive(Clone, Copy, Debug)]
-enum Choice {
-    Ask(SocketAddr),
-    /// A lender is being dialed; waiting statements are dispatched again when that ends.
-    Dialing,
-    None,
-}
-
 /// Stream to another proxy, and the loans from it.
 #[derive(Debug)]
-struct Lender {
-    state: State,
+pub(crate) struct Lender {
+    pub(crate) state: State,
+    /// It was lost or could not be reached before the current dial.
+    pub(crate) was_lost: bool,
     /// Number of the current dial; events of earlier dials are ignored.
     dial: u64,
     /// When the stream last reported an event, or when the first of its open loans was requested.
-    silent_since: Instant,
-    denied_until: Option<Instant>,
-    loans: BTreeMap<u64, ConnKey>,
+    pub(crate) silent_since: Instant,
+    pub(crate) denied_until: Option<Instant>,
+    pub(crate) loans: BTreeMap<u64, ConnKey>,
 }
 
-/// Streams to all lenders, and the proxies of this failure domain.
+/// Streams to all lenders, and the proxies that may lend.
 #[derive(Debug, Default)]
 pub struct Lenders {
-    neighbours: Vec<Neighbour>,
-    streams: BTreeMap<SocketAddr, Lender>,
+    /// Lenders are chosen for each server, as the plan has tenants.
+    pub(crate) by_server: bool,
+    /// Proxies of this failure domain, or of all domains if the plan has tenants.
+    pub(crate) neighbours: Vec<Neighbour>,
+    pub(crate) streams: BTreeMap<SocketAddr, Lender>,
     /// Number of the last loan that was requested.
     last_loan: u64,
     /// Number of the last dial of any lender.
@@ -75,33 +69,6 @@
 }
 
 impl Lenders {
-    /// Whether `instance` is one of the lenders of a service; `None` if no proxies are known.
-    #[must_use]
-    pub fn is_lender(&self, instance: &str, service: &str) -> Option<bool> {
-        let ranked = ranked(&self.neighbours, service);
-        let mut lenders = ranked.iter().take(LENDER_COUNT);
-        (!ranked.is_empty()).then(|| lenders.any(|neighbour| neighbour.instance == instance))
-    }
-
-    /// The other proxies in the order in which `instance` asks them for connections of a service.
-    #[must_use]
-    pub fn ask_order(
-        &self,
-        instance: &str,
-        tenant: Option<&str>,
-        service: &str,
-    ) -> Vec<SocketAddr> {
-        let mut ranked = ranked(&self.neighbours, service);
-        ranked.truncate(LENDER_COUNT + BACKUP_LENDER_COUNT);
-        if ranked.len() >= LENDER_COUNT {
-            ranked[..LENDER_COUNT].rotate_left(preferred(instance, tenant, service));
-        }
-        let others = ranked
-            .iter()
-            .filter(|neighbour| neighbour.instance != instance);
-        others.map(|neighbour| neighbour.address).collect()
-    }
-
     /// Forgets a loan. Its later messages are ignored.
     pub(crate) fn end_loan(&mut self, loan: Loan) {
         if let Some(lender) = self.streams.get_mut(&loan.lender) {
@@ -129,80 +96,13 @@
 }
 
 impl<P: Protocol, C: Clock> Loop<P, C> {
-    /// Replaces the list of the proxies of this failure domain.
-    pub(crate) fn on_neighbours(&mut self, list: &[wire::Neighbour]) {
-        let neighbour = |raw: &wire::Neighbour| {
-            Some(Neighbour {
-                instance: raw.instance.clone(),
-                address: raw.address.parse().ok()?,
-            })
-        };
-        self.lenders.neighbours = list.iter().filter_map(neighbour).collect();
-        tracing::info!(
-            entries = self.lenders.neighbours.len(),
-            "received the list of proxies in this failure domain"
-        );
-        let neighbours = &self.lenders.neighbours;
-        let listed = |address: &SocketAddr| {
-            neighbours
-                .iter()
-                .any(|neighbour| neighbour.address == *address)
-        };
-        self.lenders
-            .streams
-            .retain(|address, lender| listed(address) || !lender.loans.is_empty());
-        for index in 0..self.services.len() {
-            self.update_lenders(index);
-        }
-        self.registry_changed = true;
-    }
-
-    /// Updates which proxies lend connections of a service.
-    pub(crate) fn update_lenders(&mut self, index: usize) {
-        let (instance, service) = (self.settings.instance.as_str(), &mut self.services[index]);
-        service.lends = self.lenders.is_lender(instance, &service.name);
-        service.lenders = self.lenders.ask_order(instance, None, &service.name);
-    }
-
-    /// Finds a lender that can be asked for a connection of a service now, and dials lenders that
-    /// are not connected.
-    fn choose_lender(
-        &mut self,
-        now: Instant,
-        service: usize,
-        tenant: Option<tenant::Id>,
-    ) -> Choice {
-        let mut choice = Choice::None;
-        let service = &self.services[service];
-        let instance = self.settings.instance.as_str();
-        let order = |name| self.lenders.ask_order(instance, Some(name), &service.name);
-        let name = tenant.map(|tenant| self.directory.name(tenant));
-        let lenders = name.map_or_else(|| service.lenders.clone(), order);
-        for address in lenders {
-            let Some(lender) = self.lenders.streams.get(&address) else {
-                self.dial_lender(now, address);
-                return Choice::Dialing;
-            };
-            match lender.state {
-                State::Up(_) if lender.denied_until.is_none_or(|until| until <= now) => {
-                    return Choice::Ask(address);
-                }
-                State::Down(at) if at <= now => {
-                    self.dial_lender(now, address);
-                    choice = Choice::Dialing;
-                }
-                State::Dialing => choice = Choice::Dialing,
-                State::Up(_) | State::Down(_) => {}
-            }
-        }
-        choice
-    }
-
-    fn dial_lender(&mut self, now: Instant, address: SocketAddr) {
+    pub(crate) fn dial_lender(&mut self, now: Instant, address: SocketAddr) {
         self.lenders.last_dial += 1;
         let dial = self.lenders.last_dial;
+        let was_lost = self.lenders.streams.contains_key(&address);
         let lender = Lender {
             state: State::Dialing,
+            was_lost,
             dial,
             silent_since: now,
             denied_until: None,
@@ -260,9 +160,12 @@
         tenant: Option<tenant::Id>,
         urgency: Urgency,
     ) -> bool {
-        let address = match self.choose_lender(now, self.servers[index].service, tenant) {
+        let address = match self.choose_lender(now, index, tenant) {
             Choice::Ask(address) => address,
-            Choice::Dialing => return true,
+            Choice::Dialing => {
+                self.on_dialing_lender(now, index);
+                return true;
+            }
             Choice::None => return false,
         };
         self.lenders.last_loan += 1;
@@ -278,7 +181,9 @@
         };
         if !self.lenders.send(address, request) {
             self.on_lender_lost(now, address, CAUSE_LENDER_LOST);
-            return false;
+            // The waiting statements are dispatched again and ask the next lender.
+            self.due_services.push(self.servers[index].service);
+            return self.lenders.by_server;
         }
         let key = self.conns.insert(Conn::borrowed(
             index,
@@ -335,10 +240,12 @@
             }
             Lend::Deny { loan, failed } => {
                 let key = conn(loan);
-                if !failed {
-                    lender.denied_until = Some(now + DENIED_PAUSE);
+                let until = now + DENIED_PAUSE;
+                if !failed && !self.lenders.by_server {
+                    lender.denied_until = Some(until);
                 }
                 if let Some(key) = key {
+                    self.on_denied(key, address, until, failed);
                     let cause = if failed {
                         "loan_denied"
                     } else {
@@ -361,21 +268,6 @@
         }
     }
 
-    /// Closes the streams of lenders that are silent although they have open loans.
-    pub(crate) fn drop_silent_lenders(&mut self, now: Instant) {
-        let is_silent = |lender: &Lender| {
-            let up = matches!(lender.state, State::Up(_));
-            up && !lender.loans.is_empty() && now >= lender.silent_since + SILENCE_TIMEOUT
-        };
-        let streams = self.lenders.streams.iter();
-        let silent = streams
-            .filter(|(_, lender)| is_silent(lender))
-            .map(|(address, _)| *address);
-        for address in silent.collect::<Vec<_>>() {
-            self.on_lender_lost(now, address, CAUSE_LENDER_LOST);
-        }
-    }
-
     pub(crate) fn on_lender_lost(
         &mut self,
         now: Instant,
--- a/components/proxy/src/connection.rs
+++ b/components/proxy/src/connection.rs
@@ -44,7 +44,7 @@
             return self.open_own(now, index, tenant);
         }
         if !self.ask_lender(now, index, tenant, urgency) {
-            self.open_without_lender(now, index, tenant);
+            self.on_no_lender(now, index, tenant);
         }
     }
 
--- a/components/proxy/src/endpoint.rs
+++ b/components/proxy/src/endpoint.rs
@@ -36,7 +36,11 @@
             return Err("keys can't be confirmed");
         }
         // A proxy that borrows connections reaches no server before its first statement.
-        let reached = |server: &Server| server.answered_at.is_some() || server.uses_lenders;
+        let knows_lenders = |server: &Server| {
+            let lending = self.lending(server);
+            server.uses_lenders && lending.has_others(self.settings.instance.as_str())
+        };
+        let reached = |server: &Server| server.answered_at.is_some() || knows_lenders(server);
         let reached = self.servers.iter().any(reached);
         if !reached {
             return Err("no server reached yet");
--- a/components/proxy/src/lend.rs
+++ b/components/proxy/src/lend.rs
@@ -17,8 +17,6 @@
 
 /// Maximum number of borrowers that wait for one server.
 const MAX_WAITERS: usize = 400;
-/// How long a proxy lends in place of the lenders after the last request that made it do so.
-const BACKUP_PERIOD: Duration = Duration::from_secs(4);
 /// Interval of pulses to borrowers with open loans.
 const PULSE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -145,7 +143,7 @@
         let index = self.server_indices.get(server).copied();
         let index = index.filter(|index| {
             let server = &self.servers[*index];
-            let lends = server.listed && !self.is_ending_transactions(now);
+            let lends = server.listed && !self.is_ending_transactions(now) && self.may_lend(*index);
             lends && !server.is_down(now) && server.waiters.len() < MAX_WAITERS
         });
         let Some(index) = index else {
@@ -156,9 +154,7 @@
                 .borrowers
                 .send(now, stream, Lend::Deny { loan, failed });
         };
-        if self.servers[index].uses_lenders {
-            self.start_backup_lending(now, self.servers[index].service);
-        }
+        self.start_or_extend_backup(now, index);
         let Some(borrower) = self.borrowers.0.get_mut(&stream) else {
             return;
         };
@@ -172,26 +168,6 @@
         }
     }
 
-    /// Starts to lend connections of a service because a borrower could get none from its lenders.
-    fn start_backup_lending(&mut self, now: Instant, service: usize) {
-        tracing::info!(
-            service = self.services[service].name,
-            "lending connections in place of the lenders of a service"
-        );
-        self.services[service].backup_until = Some(now + BACKUP_PERIOD);
-        self.update_shares(service);
-    }
-
-    /// Stops lending in place of lenders that are available again.
-    pub(crate) fn end_backup_lending(&mut self, now: Instant) {
-        for service in 0..self.services.len() {
-            let over = |until: &mut Instant| *until <= now;
-            if self.services[service].backup_until.take_if(over).is_some() {
-                self.update_shares(service);
-            }
-        }
-    }
-
     /// Whether one more statement may be sent to a server on this proxy's own connections. During a
     /// pause the service is dispatched again at its end.
     pub(crate) fn has_slot(&mut self, now: Instant, index: usize) -> bool {
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -1,14 +1,17 @@
 //! Servers as this proxy sees them, and its connections to them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use crate::choose::Candidate;
 use crate::event::ConnKey;
 use crate::lend::Waiter;
+use crate::lenders::Lending;
 use admission::tenancy::Times;
 use admission::{Queue, Window};
 use registry::Life;
+use types::Name;
 
 /// Assumed latency of a server before its first answer.
 const INITIAL_LATENCY: Duration = Duration::from_millis(5);
@@ -40,6 +43,8 @@
     pub address: SocketAddr,
     /// The current life of the server.
     pub life: Life,
+    /// Failure domain.
+    pub domain: Name,
     /// The server is in the proxy's own failure domain.
     pub local: bool,
     /// The registry contains the server.
@@ -64,6 +69,13 @@
     pub share: usize,
     /// Other proxies hold the server's connections and lend them.
     pub uses_lenders: bool,
+    /// Lenders of this server, which count while the plan has tenants.
+    pub lending: Lending,
+    /// Lenders that denied a connection to this server, and until when each is skipped. Empty while
+    /// the plan has no tenants.
+    pub denied: BTreeMap<SocketAddr, Instant>,
+    /// Until when no lender can be asked.
+    pub no_lender_until: Option<Instant>,
     /// Limit of the statements that run on this proxy's own connections, lent ones included.
     pub window: Window,
     /// Number of connections that may currently be opened beyond the share.
@@ -98,6 +110,7 @@
             service,
             address: registered.address,
             life: registered.life,
+            domain: registered.domain.clone(),
             local,
             listed: true,
             draining_since: None,
@@ -110,6 +123,9 @@
             times: Times::default(),
             share: 1,
             uses_lenders: false,
+            lending: Lending::default(),
+            denied: BTreeMap::new(),
+            no_lender_until: None,
             window: Window::new(registered.slots),
             overcommit: 0,
             shared_total: 1,
@@ -129,7 +145,8 @@
     #[must_use]
     pub fn has_room(&self, now: Instant) -> bool {
         if self.uses_lenders {
-            self.listed && !self.is_down(now) && self.conns.len() < MAX_LOANS
+            let can_ask = self.no_lender_until.is_none_or(|until| until <= now);
+            self.listed && can_ask && !self.is_down(now) && self.conns.len() < MAX_LOANS
         } else {
             self.has_own_room(now)
         }
@@ -238,6 +255,12 @@
         self.full_slots_until = Some(now + FULL_SLOTS_PERIOD);
     }
 
+    /// Whether all slots are assumed to be taken.
+    #[must_use]
+    pub fn has_full_slots(&self, now: Instant) -> bool {
+        self.full_slots_until.is_some_and(|until| now < until)
+    }
+
     /// Whether there are too many proxies for each to keep a connection. Each then opens one when
     /// needed and closes it soon after.
     #[must_use]
@@ -250,6 +273,12 @@
         (self.share, self.shared_total) = (share, shared_total);
     }
 
+    /// Sets this proxy's share, beyond which it opens no connection.
+    pub fn set_exact_share(&mut self, share: usize) {
+        self.set_share(share, share);
+        self.overcommit = 0;
+    }
+
     /// Records that the server sent bytes on a lent connection.
     pub fn on_lent_bytes(&mut self, now: Instant) {
         self.answered_at = Some(now);
@@ -296,8 +325,10 @@
             can_open,
             running: self.running,
             latency: self.latency.mul_f64(0.5_f64.powf(half_lives)),
-            full: self.full_slots_until.is_some_and(|until| now < until),
-            down_until: self.down_until,
+            full: self.has_full_slots(now),
+            down_until: self
+                .down_until
+                .max(self.no_lender_until.filter(|_| self.uses_lenders)),
             lag: self.lag.filter(|_| recent),
             tried,
         }
--- a/components/proxy/src/service.rs
+++ b/components/proxy/src/service.rs
@@ -1,13 +1,13 @@
 //! Services as this proxy sees them.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use clock::Moment;
 
 use crate::event::SessionKey;
 use crate::freshness::History;
+use crate::lenders::Lending;
 
 /// A primary whose smoothed latency exceeds the route's goal by this factor counts as slow.
 const SLOW_GOAL_FACTOR: u32 = 2;
@@ -44,12 +44,8 @@
     pub confirmed_token: u64,
     /// Number of connections that each server accepts from all proxies together.
     pub connections: u32,
-    /// Whether this proxy is one of the lenders; `None` while no proxies are known.
-    pub lends: Option<bool>,
-    /// Until when this proxy lends in place of the lenders.
-    pub backup_until: Option<Instant>,
-    /// Proxies that lend connections, in the order in which they are asked.
-    pub lenders: Vec<SocketAddr>,
+    /// Lenders in this failure domain, which count while the plan has no tenants.
+    pub lending: Lending,
 }
 
 impl Service {
@@ -92,9 +88,7 @@
             confirmed_at: None,
             confirmed_token: 0,
             connections: 0,
-            lends: None,
-            backup_until: None,
-            lenders: Vec::new(),
+            lending: Lending::default(),
         }
     }
 }
--- a/components/proxy/src/sync.rs
+++ b/components/proxy/src/sync.rs
@@ -3,7 +3,6 @@
 use std::time::Instant;
 
 use crate::event::ConnKey;
-use crate::lenders::LENDER_COUNT;
 use crate::process::Loop;
 use crate::protocol::Protocol;
 use crate::server::Server;
@@ -11,14 +10,6 @@
 use crate::session::Urgency;
 use clock::Clock;
 
-/// Connections of each server that are reserved for coordinators and for proxies that have just
-/// started.
-const RESERVED_CONNECTIONS: u32 = 4;
-/// Minimum number of connections to a server that a proxy may have.
-const MIN_SHARE: usize = 1;
-/// If the equal share is below this number, proxies lend each other connections.
-const MIN_EQUAL_SHARE: usize = 2;
-
 impl<P: Protocol, C: Clock> Loop<P, C> {
     pub(crate) fn on_registry(&mut self, now: Instant) {
         self.on_promotions_confirmed(now);
@@ -59,6 +50,7 @@
     }
 
     fn update_servers(&mut self, now: Instant) {
+        self.update_lending_mode();
         let names: Vec<String> = self.plan.services.keys().cloned().collect();
         for name in names {
             let index = self.service_index(&name);
@@ -79,7 +71,7 @@
             }
         }
         for service in 0..self.services.len() {
-            self.update_shares(service);
+            self.update_shares(now, service);
         }
         for (index, present) in present.into_iter().enumerate() {
             if !present && self.servers[index].listed {
@@ -89,35 +81,6 @@
         }
     }
 
-    /// Returns this proxy's share of the connections of a service's servers, the number of
-    /// connections that all proxies share, and whether this proxy has to borrow them from lenders.
-    fn share(&self, service: usize) -> (usize, usize, bool) {
-        let service = &self.services[service];
-        let shared_total = service.connections.saturating_sub(RESERVED_CONNECTIONS) as usize;
-        let equal_share = shared_total / self.subscription.proxy_count() as usize;
-        let lends = service
-            .lends
-            .map(|is_lender| is_lender || service.backup_until.is_some());
-        match lends.filter(|_| equal_share < MIN_EQUAL_SHARE) {
-            None => (equal_share.max(MIN_SHARE), shared_total, false),
-            Some(true) => {
-                let lender_share = shared_total / self.settings.domains / LENDER_COUNT;
-                (lender_share.max(MIN_SHARE), shared_total, false)
-            }
-            Some(false) => (MIN_SHARE, shared_total, !service.lenders.is_empty()),
-        }
-    }
-
-    /// Updates the shares of a service's servers.
-    pub(crate) fn update_shares(&mut self, service: usize) {
-        let (share, shared_total, borrows) = self.share(service);
-        for index in &self.services[service].servers {
-            let server = &mut self.servers[*index];
-            server.set_share(share, shared_total);
-            server.uses_lenders = borrows;
-        }
-    }
-
     /// The index of a registered server. A new life or another address makes it another server.
     fn server_index(&mut self, registered: &registry::Server) -> usize {
         if let Some(index) = self.server_indices.get(&registered.id).copied() {
@@ -137,6 +100,7 @@
         self.servers.push(Server::new(registered, service, local));
         self.services[service].servers.push(index);
         self.server_indices.insert(registered.id.clone(), index);
+        self.update_server_lenders(index);
         index
     }
 
--- a/components/proxy/tests/lenders.rs
+++ b/components/proxy/tests/lenders.rs
@@ -8,6 +8,7 @@
 fn neighbours(count: u16) -> Vec<Neighbour> {
     let neighbour = |index: u16| Neighbour {
         instance: format!("entry-{index}"),
+        domain: "a".to_owned(),
         address: ([10, 0, 0, 1], index + 1).into(),
     };
     (0..count).map(neighbour).collect()
