Try reads elsewhere while a lender does not answer

Cause: a read waited for a silent lender until it counted as lost after 700 to 950 ms; and two silent lenders that accept streams were asked in turn, so that the stand-in was asked after 2.8 s. Change: with tenants, a server whose lender has not answered a request for 150 ms, or is being dialed, is the last choice for reads. A lender that was silent is dialed again after 2 s.

--- a/components/proxy/src/borrow.rs
+++ b/components/proxy/src/borrow.rs
@@ -60,6 +60,8 @@
     /// Proxies of this failure domain, or of all domains if the plan has tenants.
     pub(crate) neighbours: Vec<Neighbour>,
     pub(crate) streams: BTreeMap<SocketAddr, Lender>,
+    /// A check of unanswered requests is scheduled.
+    pub(crate) check_scheduled: bool,
     /// Number of the last loan that was requested.
     last_loan: u64,
     /// Number of the last dial of any lender.
@@ -205,6 +207,7 @@
             lender.loans.insert(loan, key);
         }
         self.metrics.loans.inc();
+        self.schedule_request_check(now);
         true
     }
 
--- a/components/proxy/src/lender_choice.rs
+++ b/components/proxy/src/lender_choice.rs
@@ -16,9 +16,13 @@
 /// A lender with open loans that sends nothing for this long counts as lost. It sends several
 /// pulses in this time.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
-/// After this time without a message from a lender, reads that wait for it are tried on other
-/// servers. A lender in use sends a pulse every 250 ms.
-const SUSPICION_TIMEOUT: Duration = Duration::from_millis(350);
+/// After this time without an answer to a request, reads that wait for it are tried on other
+/// servers. A lender answers at once, or as soon as it has opened a connection.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Delay before a lender that was silent is dialed again. With the delay after other losses, two
+/// silent lenders that accept streams are asked in turn, and no stand-in is.
+const SILENT_REDIAL_DELAY: Duration = Duration::from_secs(2);
 
 /// Result of the search for a lender.
 #[derive(Clone, Copy, Debug)]
@@ -31,9 +35,9 @@
 
 impl Lender {
     /// Whether it has sent nothing for a while although it has lent or was asked to lend.
-    fn is_silent(&self, now: Instant, limit: Duration) -> bool {
+    fn is_silent(&self, now: Instant) -> bool {
         let up = matches!(self.state, State::Up(_));
-        up && !self.loans.is_empty() && now >= self.silent_since + limit
+        up && !self.loans.is_empty() && now >= self.silent_since + SILENCE_TIMEOUT
     }
 }
 
@@ -151,24 +155,58 @@
         }
     }
 
-    /// Closes the streams of lenders that are silent although they have open loans. Shortly before
-    /// that, statements that wait for their answers are tried on other servers.
-    pub(crate) fn drop_silent_lenders(&mut self, now: Instant) {
-        let by_server = self.lenders.by_server;
-        let mut silent = Vec::new();
-        for (address, lender) in &self.lenders.streams {
-            if lender.is_silent(now, SILENCE_TIMEOUT) {
-                silent.push(*address);
-            } else if by_server && lender.is_silent(now, SUSPICION_TIMEOUT) {
-                let conns = lender.loans.values().filter_map(|key| self.conns.get(*key));
-                for conn in conns.filter(|conn| conn.loan.is_some_and(|loan| !loan.granted)) {
-                    self.servers[conn.server].on_full_slots(now);
-                    self.due_services.push(self.servers[conn.server].service);
+    /// Schedules a check of a request that was just sent.
+    pub(crate) fn schedule_request_check(&mut self, now: Instant) {
+        if self.lenders.by_server && !self.lenders.check_scheduled {
+            self.lenders.check_scheduled = true;
+            self.timers.add(now + REQUEST_TIMEOUT, Timer::Requests);
+        }
+    }
+
+    pub(crate) fn check_requests(&mut self, now: Instant) {
+        self.lenders.check_scheduled = false;
+        if let Some(due) = self.skip_unanswered(now) {
+            self.lenders.check_scheduled = true;
+            self.timers.add(due, Timer::Requests);
+        }
+    }
+
+    /// Has reads that wait for silent lenders tried on other servers. Returns when the next request
+    /// will have waited too long.
+    fn skip_unanswered(&mut self, now: Instant) -> Option<Instant> {
+        let mut next: Option<Instant> = None;
+        for lender in self.lenders.streams.values() {
+            for conn in lender.loans.values().filter_map(|key| self.conns.get(*key)) {
+                if conn.loan.is_none_or(|loan| loan.granted) {
+                    continue;
+                }
+                let due = conn.used_at.max(lender.silent_since) + REQUEST_TIMEOUT;
+                if due > now {
+                    next = Some(next.map_or(due, |next| next.min(due)));
+                    continue;
                 }
+                let server = &mut self.servers[conn.server];
+                server.on_unanswered_request(now);
+                self.due_services.push(server.service);
             }
         }
+        next
+    }
+
+    /// Closes the streams of lenders that are silent although they have open loans.
+    pub(crate) fn drop_silent_lenders(&mut self, now: Instant) {
+        if self.lenders.by_server {
+            self.skip_unanswered(now);
+        }
+        let silent = self.lenders.streams.iter();
+        let silent = silent.filter(|(_, lender)| lender.is_silent(now));
+        let silent: Vec<SocketAddr> = silent.map(|(address, _)| *address).collect();
         for address in silent {
             self.on_lender_lost(now, address, CAUSE_LENDER_LOST);
+            let lender = self.lenders.streams.get_mut(&address);
+            if let Some(lender) = lender.filter(|_| self.lenders.by_server) {
+                lender.state = State::Down(now + SILENT_REDIAL_DELAY);
+            }
         }
     }
 }
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -38,7 +38,7 @@
 const MAX_EVENTS_PER_TURN: usize = 128;
 const RETRY_BUDGET_WINDOW: Duration = Duration::from_secs(10);
 /// Interval of connection maintenance and of reports to coordinators.
-const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
+pub(crate) const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 /// Capacity of the queue of messages to a borrower.
 const LOAN_QUEUE_LEN: usize = 1024;
 /// Delay after a failed accept, so that a process without free file descriptors does not spin.
@@ -291,23 +291,6 @@
         }
     }
 
-    fn on_timers(&mut self, now: Instant) {
-        while let Some(due) = self.timers.pop(now) {
-            match due {
-                Timer::Session(key) => self.on_session_due(now, key),
-                Timer::Service(index) => self.due_services.push(index),
-                Timer::Subscription => self.maintain_subscription(now),
-                Timer::Rate => self.on_rate_due(now),
-                Timer::Maintenance => {
-                    self.timers
-                        .add(now + MAINTENANCE_INTERVAL, Timer::Maintenance);
-                    self.on_maintenance(now);
-                }
-            }
-        }
-        self.advance_stop(now);
-    }
-
     /// Runs until no session and no service is due.
     pub(crate) fn process_due(&mut self, now: Instant) {
         loop {
@@ -323,7 +306,7 @@
         }
     }
 
-    fn on_maintenance(&mut self, now: Instant) {
+    pub(crate) fn on_maintenance(&mut self, now: Instant) {
         self.drop_silent_lenders(now);
         self.pulse_borrowers(now);
         self.end_backup_lending(now);
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -30,6 +30,9 @@
 const MAX_LOANS: usize = 64;
 /// How long all slots of a server are assumed to be taken once a lender has queued a request.
 const FULL_SLOTS_PERIOD: Duration = Duration::from_millis(40);
+/// How long reads prefer other servers once a lender has not answered a request. It is checked again
+/// before the end.
+const UNANSWERED_REQUEST_PERIOD: Duration = Duration::from_millis(300);
 /// How long no connection is opened after the server had none left.
 const FULL_PAUSE: Duration = Duration::from_millis(300);
 
@@ -255,6 +258,11 @@
         self.full_slots_until = Some(now + FULL_SLOTS_PERIOD);
     }
 
+    /// Records that the lender has not answered a request, so that reads prefer other servers.
+    pub fn on_unanswered_request(&mut self, now: Instant) {
+        self.full_slots_until = Some(now + UNANSWERED_REQUEST_PERIOD);
+    }
+
     /// Whether all slots are assumed to be taken.
     #[must_use]
     pub fn has_full_slots(&self, now: Instant) -> bool {
--- a/components/proxy/src/timer.rs
+++ b/components/proxy/src/timer.rs
@@ -4,7 +4,11 @@
 use std::collections::BinaryHeap;
 use std::time::Instant;
 
+use clock::Clock;
+
 use crate::event::SessionKey;
+use crate::process::{Loop, MAINTENANCE_INTERVAL};
+use crate::protocol::Protocol;
 
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -19,6 +23,8 @@
     Rate,
     /// Periodic maintenance of connections, primaries and streams.
     Maintenance,
+    /// Requests to lenders may be unanswered.
+    Requests,
 }
 
 /// Timers, earliest first. A timer is not cancelled; its handler checks whether anything is due.
@@ -45,3 +51,24 @@
         })
     }
 }
+
+impl<P: Protocol, C: Clock> Loop<P, C> {
+    /// Handles the timers that are due.
+    pub(crate) fn on_timers(&mut self, now: Instant) {
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Timer::Session(key) => self.on_session_due(now, key),
+                Timer::Service(index) => self.due_services.push(index),
+                Timer::Subscription => self.maintain_subscription(now),
+                Timer::Rate => self.on_rate_due(now),
+                Timer::Requests => self.check_requests(now),
+                Timer::Maintenance => {
+                    self.timers
+                        .add(now + MAINTENANCE_INTERVAL, Timer::Maintenance);
+                    self.on_maintenance(now);
+                }
+            }
+        }
+        self.advance_stop(now);
+    }
+}
