--- a/components/coordinator/tests/neighbours.rs
+++ b/components/coordinator/tests/neighbours.rs
@@ -75,6 +75,31 @@
     assert_eq!(lists["a"], [entry("e1", "a")]);
 }
 
+// Entries borrow across domains if the plan has tenants: each must learn of all entries, also of the
+// end of the last one in a domain, and gets no list that has not changed.
+#[test]
+fn the_list_of_all_domains_is_returned_when_it_changes() {
+    let start = Instant::now();
+    let mut neighbours = Neighbours::new(start);
+    let both = vec![entry("e1", "a"), entry("e2", "b")];
+    assert_eq!(
+        neighbours.update_all(after_ms(start, 250), both.clone()),
+        None
+    );
+    assert!(neighbours.all().is_empty());
+    let now = after_ms(start, 4000);
+    assert_eq!(neighbours.update_all(now, both.clone()), Some(both.clone()));
+    assert_eq!(
+        neighbours.update_all(after_ms(start, 4250), both.clone()),
+        None
+    );
+    assert_eq!(neighbours.all(), both);
+    neighbours.on_left("e2");
+    let rest = vec![entry("e1", "a")];
+    let now = after_ms(start, 4500);
+    assert_eq!(neighbours.update_all(now, rest.clone()), Some(rest));
+}
+
 // Each change is sent at once, and the list is repeated, as a message may be lost with its stream.
 #[test]
 fn repeats_its_list_to_the_other_instances() {
--- a/components/proxy/tests/lenders.rs
+++ b/components/proxy/tests/lenders.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use proxy::lenders::{LENDER_COUNT, Neighbour, preferred, ranked};
+use proxy::lenders::{
+    BACKUP_LENDER_COUNT, Duty, LENDER_COUNT, Lending, Neighbour, preferred, ranked,
+    ranked_for_server,
+};
 use proxy::tenant::Directory;
 
 fn neighbours(count: u16) -> Vec<Neighbour> {
@@ -62,6 +65,99 @@
     );
 }
 
+/// Thirty proxies in each of the domains a, b and c.
+fn in_domains() -> Vec<Neighbour> {
+    let mut all = neighbours(90);
+    for (index, neighbour) in all.iter_mut().enumerate() {
+        neighbour.domain = ["a", "b", "c"][index % 3].to_owned();
+    }
+    all
+}
+
+// A lender in another domain could not reach a server whose domain is cut off, and no proxy of the
+// domain may hold the connections of far more servers than the others.
+#[test]
+fn spreads_servers_over_the_proxies_of_their_domain() {
+    let all = in_domains();
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for server in 0..300 {
+        let ranked = ranked_for_server(&all, "b", &format!("server-{server}"));
+        let (lenders, others) = ranked.split_at(LENDER_COUNT);
+        assert!(lenders.iter().all(|lender| lender.domain == "b"));
+        let stand_ins = &others[..BACKUP_LENDER_COUNT];
+        assert!(stand_ins.iter().all(|other| other.domain == "b"));
+        for lender in lenders {
+            *counts.entry(lender.instance.clone()).or_default() += 1;
+        }
+    }
+    // Expected: 20 each.
+    assert!(
+        counts.len() == 30 && counts.values().all(|count| *count < 45),
+        "{counts:?}"
+    );
+}
+
+// The loss of a proxy must move no connections but its own, whichever domain it is in.
+#[test]
+fn losing_a_proxy_moves_only_its_own_servers() {
+    let all = in_domains();
+    for lost in [&all[1], &all[2]] {
+        let mut remaining = all.clone();
+        remaining.retain(|neighbour| neighbour != lost);
+        for server in (0..300).map(|number| format!("server-{number}")) {
+            let mut before = ranked_for_server(&all, "b", &server);
+            before.retain(|neighbour| *neighbour != lost);
+            assert_eq!(ranked_for_server(&remaining, "b", &server), before);
+        }
+    }
+}
+
+// A server whose domain has no proxy, or a single one, must have as many lenders as others.
+#[test]
+fn proxies_of_other_domains_lend_where_the_own_ones_are_too_few() {
+    let mut all = in_domains();
+    all.retain(|neighbour| neighbour.domain != "b" || neighbour.instance == "entry-1");
+    for server in (0..50).map(|number| format!("server-{number}")) {
+        let ranked = ranked_for_server(&all, "b", &server);
+        assert_eq!(ranked[0].instance, "entry-1");
+        assert_eq!(ranked.len(), all.len());
+        assert_eq!(
+            ranked[1..],
+            ranked_for_server(&all, "d", &server)
+                .into_iter()
+                .filter(|neighbour| neighbour.domain != "b")
+                .collect::<Vec<_>>()
+        );
+    }
+}
+
+// A proxy that misjudges its place would open connections beside the lenders, or lend none; and one
+// that asks a stand-in first would make it open some.
+#[test]
+fn duties_follow_the_order() {
+    let all = neighbours(6);
+    let ranked = ranked_for_server(&all, "a", "server");
+    let duty = |instance: &str| {
+        let mut lending = Lending::default();
+        lending.update(instance, ranked.clone());
+        lending.duty
+    };
+    let duties: Vec<Duty> = ranked.iter().map(|other| duty(&other.instance)).collect();
+    use Duty::{Borrows, Lends, StandsIn};
+    assert_eq!(duties, [Lends, Lends, StandsIn, StandsIn, Borrows, Borrows]);
+    assert_eq!(duty("unlisted"), Borrows);
+    let mut lending = Lending::default();
+    assert_eq!(lending.duty, Duty::Unknown);
+    lending.update("unlisted", ranked.clone());
+    for tenant in ["t0", "t1", "t2", "t3"] {
+        let order = lending.ask_order("unlisted", Some(tenant), "server");
+        let first = preferred("unlisted", Some(tenant), "server");
+        assert_eq!(order[0], (ranked[first].address, true));
+        let are_lenders: Vec<bool> = order.iter().map(|(_, is_lender)| *is_lender).collect();
+        assert_eq!(are_lenders, [true, true, false, false]);
+    }
+}
+
 // The first lender of a service must differ between proxies, so that no lender gets all requests.
 #[test]
 fn spreads_proxies_over_lenders() {
