Give proxies out of contact shares of rate limits

Cause: a proxy that loses contact with the issuer serves half a second from the tokens it holds and refuses everything after that. Change: claims carry the share of the holder and the number of proxies, issues the share to use out of contact. The issuer withholds the shares of silent holders from the buckets. A tenant in use is worth one held token.

--- a/components/proxy/src/rate.rs
+++ b/components/proxy/src/rate.rs
@@ -345,6 +345,8 @@
             return;
         }
         let moment = self.clock.moment();
+        let proxies = self.subscription.known_proxy_count();
+        rates.holder.set_proxies(moment, proxies);
         // Without a stream the claim is dropped, and the next one is due when it counts as lost.
         if let Some(claim) = rates.holder.next_claim(moment)
             && let State::Up { out, .. } = &rates.state
--- a/components/proxy/src/subscribe.rs
+++ b/components/proxy/src/subscribe.rs
@@ -64,6 +64,8 @@
     complaints: Vec<(String, String)>,
     /// Number of proxies in the whole system.
     proxy_count: u32,
+    /// Whether a coordinator has sent it.
+    proxy_count_known: bool,
     /// Until when the last pulse of a coordinator in contact with a leader counts.
     current_until: Option<Instant>,
     /// When that pulse arrived, on the clock that also counts suspended time.
@@ -88,6 +90,7 @@
             last_question: Default::default(),
             complaints: Vec::new(),
             proxy_count: INITIAL_PROXY_COUNT,
+            proxy_count_known: false,
             current_until: None,
             last_contact: None,
             heard_at: None,
@@ -99,6 +102,15 @@
         self.proxy_count.max(1)
     }
 
+    /// The number of proxies as a coordinator has sent it; 0 if none has.
+    pub fn known_proxy_count(&self) -> u32 {
+        if self.proxy_count_known {
+            self.proxy_count
+        } else {
+            0
+        }
+    }
+
     /// Tells the coordinator that this proxy stops.
     pub fn leave(&mut self) {
         if let State::Up { out, .. } = &self.state {
@@ -267,6 +279,7 @@
                     self.subscription.current_until = Some(now + SILENCE_TIMEOUT);
                     self.subscription.last_contact = Some(moment);
                 }
+                self.subscription.proxy_count_known |= current && entries != 0;
                 if current && entries != 0 && entries != self.subscription.proxy_count {
                     self.subscription.proxy_count = entries;
                     self.registry_changed = true;
--- a/components/ratelimit/src/bucket.rs
+++ b/components/ratelimit/src/bucket.rs
@@ -11,7 +11,8 @@
 use registry::tenant::Rate;
 
 use crate::issuer::Limit;
-use crate::message::Need;
+use crate::message::{Need, SHARE_LIFETIME};
+use crate::shares::Shares;
 
 /// Parts of a token in one thousandth: the gain of a rate in thousandths per second over a number of
 /// nanoseconds is then exact.
@@ -22,6 +23,8 @@
 pub const MAX_RETRY: Duration = Duration::from_secs(5);
 /// Tokens issued to a holder within this time share one batch, which bounds the number of batches.
 const BATCH_SPAN: Duration = Duration::from_millis(250);
+/// Lowest level at which a holder with little use is given a token to hold.
+const MIN_SPREAD_LEVEL: u128 = 4 * TOKEN;
 /// Fractional part of the golden ratio in 2^-32: multiples of it are spread evenly.
 const GOLDEN: u32 = 0x9E37_79B9;
 
@@ -57,6 +60,10 @@
     promised_until: Moment,
     /// Number of answers at the longest retry time; spreads the next one.
     spread: u32,
+    pub shares: Shares<H>,
+    /// Part of the rate that holders unknown to this issuer may spend, until then.
+    unknown_milli: u64,
+    unknown_until: Moment,
 }
 
 impl<H: Copy + Ord> Bucket<H> {
@@ -64,6 +71,7 @@
     pub fn full(now: Moment, rate: Rate, limit: Limit) -> Self {
         let mut bucket = Self::empty(now, rate, limit);
         bucket.reserved_until = None;
+        bucket.unknown_milli = 0;
         bucket.level = bucket.cap();
         bucket
     }
@@ -81,6 +89,9 @@
             reserved_until: Some(now.later(limit.lifetime)),
             promised_until: now,
             spread: 0,
+            shares: Shares::new(now),
+            unknown_milli: rate.per_second_milli,
+            unknown_until: now.later(SHARE_LIFETIME),
         }
     }
 
@@ -91,6 +102,7 @@
     pub fn set_rate(&mut self, now: Moment, rate: Rate) {
         self.advance(now);
         self.rate = rate;
+        self.unknown_milli = self.unknown_milli.min(rate.per_second_milli);
         self.level = self.level.min(self.cap());
     }
 
@@ -111,6 +123,37 @@
         self.level += u128::from(returned) * TOKEN;
     }
 
+    /// No holder is unknown any more.
+    pub fn on_complete(&mut self, now: Moment) {
+        self.advance(now);
+        self.unknown_milli = 0;
+    }
+
+    /// Counts a share of an earlier issuer as known, and returns what is left of it.
+    pub fn take_unknown(&mut self, now: Moment, share_milli: u64) -> u64 {
+        self.advance(now);
+        let taken = self.unknown_milli.min(share_milli);
+        self.unknown_milli -= taken;
+        share_milli - taken
+    }
+
+    /// The share to answer a need with; none if the tenant is not in use at the holder.
+    pub fn divide<T>(&mut self, now: Moment, holder: H, need: &Need<T>, tokens: u32) -> u64 {
+        if need.ahead == 0 && need.waiting == 0 {
+            self.shares.forget_unused(holder);
+            return 0;
+        }
+        self.shares.on_issued(now, holder, tokens.into());
+        let rate = self.rate.per_second_milli;
+        self.shares.divide(now, holder, rate, self.unknown_milli)
+    }
+
+    /// Gain per second: the rate without what holders out of contact may spend.
+    fn gain_milli(&self) -> u64 {
+        let withheld = self.shares.silent_milli() + self.unknown_milli;
+        self.rate.per_second_milli.saturating_sub(withheld)
+    }
+
     /// Removes the oldest tokens of a holder.
     fn release(&mut self, holder: H, tokens: u64) {
         let Some(batches) = self.held.get_mut(&holder) else {
@@ -145,7 +188,12 @@
             return (waiting, self.retry_in(now, need.waiting - waiting));
         }
         let ahead = need.ahead.saturating_sub(need.held);
-        let ahead = self.withdraw(ahead.min(self.ahead_room()));
+        let room = if need.ahead <= 1 && !self.can_spread(now) {
+            0
+        } else {
+            self.ahead_room()
+        };
+        let ahead = self.withdraw(ahead.min(room));
         self.hold(now, holder, number, ahead);
         (waiting.saturating_add(ahead), Duration::ZERO)
     }
@@ -162,12 +210,16 @@
             self.fill(expired_at);
             self.drop_expired(now);
         }
+        if self.unknown_milli > 0 && self.unknown_until <= now {
+            self.fill(self.unknown_until);
+            self.unknown_milli = 0;
+        }
         self.fill(now);
     }
 
     fn fill(&mut self, now: Moment) {
         let nanos = now.since(self.filled_at).as_nanos();
-        let gain = u128::from(self.rate.per_second_milli).saturating_mul(nanos);
+        let gain = u128::from(self.gain_milli()).saturating_mul(nanos);
         self.level = self.level.saturating_add(gain).min(self.cap());
         self.filled_at = self.filled_at.max(now);
     }
@@ -183,9 +235,9 @@
     }
 
     /// Highest number of tokens that holders may keep, so that the next issuer, which knows none of
-    /// them, can issue the other half of the burst.
+    /// them, can issue the other half of the burst: half of the burst, and the slack that is added to it.
     fn hold_limit(&self) -> u64 {
-        self.rate.burst_milli / 2000
+        self.rate.burst_milli / 2000 + self.limit.slack / 2
     }
 
     /// Tokens that one answer may add to those held: at most half of the level, so that one holder
@@ -197,6 +249,12 @@
         u32::try_from(half.min(room.into())).unwrap_or(u32::MAX)
     }
 
+    /// Whether there are tokens for holders where the tenant has little use. With few in the bucket, each
+    /// one held is missing for the operations of others.
+    fn can_spread(&self, now: Moment) -> bool {
+        self.promised_until <= now && self.level >= MIN_SPREAD_LEVEL
+    }
+
     /// Takes up to `wanted` whole tokens from the bucket.
     fn withdraw(&mut self, wanted: u32) -> u32 {
         let whole = u32::try_from(self.level / TOKEN).unwrap_or(u32::MAX);
@@ -230,7 +288,7 @@
     /// When a holder with `short` operations that got no token should claim again: after the gain
     /// covers these and all that were refused before, so that holders return one after the other.
     fn retry_in(&mut self, now: Moment, short: u32) -> Duration {
-        let rate = u128::from(self.rate.per_second_milli).max(1);
+        let rate = u128::from(self.gain_milli()).max(1);
         let first = nanos((TOKEN - self.level.min(TOKEN)).div_ceil(rate));
         let gain = nanos((u128::from(short) * TOKEN).div_ceil(rate));
         let backlog = self.promised_until.since(now).saturating_add(gain);
--- a/components/ratelimit/src/convert.rs
+++ b/components/ratelimit/src/convert.rs
@@ -22,10 +22,12 @@
             held: need.held,
             waiting: need.waiting,
             ahead: need.ahead,
+            share_milli: need.share_milli,
         });
         Ok(Self {
             number: claim.number,
             received: claim.received,
+            proxies: claim.proxies,
             needs: needs.collect(),
         })
     }
@@ -37,6 +39,7 @@
             tenant: grant.tenant,
             tokens: grant.tokens,
             retry_in_ms: whole_millis(grant.retry_in),
+            share_milli: grant.share_milli,
         });
         Self {
             number: issue.number,
@@ -55,11 +58,13 @@
                 held: need.held,
                 waiting: need.waiting,
                 ahead: need.ahead,
+                share_milli: need.share_milli,
             })
         });
         wire::Claim {
             number: self.number,
             received: self.received,
+            proxies: self.proxies,
             needs: needs.collect(),
         }
     }
@@ -78,6 +83,7 @@
                 tenant: tenant(&grant.tenant)?,
                 tokens: grant.tokens,
                 retry_in: Duration::from_millis(grant.retry_in_ms.into()),
+                share_milli: grant.share_milli,
             })
         });
         Ok(Self {
--- a/components/ratelimit/src/holder.rs
+++ b/components/ratelimit/src/holder.rs
@@ -5,11 +5,15 @@
 
 use clock::Moment;
 
-use crate::message::{Claim, Issue, MAX_NEEDS};
+use crate::local::Absence;
+use crate::message::{Claim, Issue, MAX_NEEDS, PROMPT_TIME, SHARE_LIFETIME};
 use crate::stock::{Answered, Stock};
 
 /// Longest time between the use of tokens and the report of it.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Time from the first claim on a stream in which claims are sent even if no tenant is in use. An issuer
+/// withholds the shares of proxies that it has not heard of.
+const GREETING_TIME: Duration = Duration::from_secs(5);
 /// Part of the lifetime after which a claim counts as lost, and tokens counted as spent when they
 /// were issued can't be used any more. Operations then start at most this much after the issuer
 /// counted them, which adds a tenth of the rate to a window of one lifetime.
@@ -50,6 +54,13 @@
     received: u64,
     pending: Option<Pending>,
     claimed_at: Moment,
+    /// When the last claim that was answered soon was sent, on any stream.
+    contact_at: Option<Moment>,
+    /// Highest number of proxies lately and when it was heard of.
+    proxies: u32,
+    proxies_at: Moment,
+    /// Until when claims are sent without needs: a new issuer counts the holders.
+    greet_until: Option<Moment>,
 }
 
 impl<T: Clone + Ord, W: Copy + Ord> Holder<T, W> {
@@ -64,6 +75,10 @@
             received: 0,
             pending: None,
             claimed_at: Moment::default(),
+            contact_at: None,
+            proxies: 0,
+            proxies_at: Moment::default(),
+            greet_until: None,
         }
     }
 
@@ -76,12 +91,23 @@
             .retain(|tenant, stock| limited.contains(tenant) || stock.has_waiting());
     }
 
+    /// Sets the present number of proxies. The highest one of the last 15 s is reported.
+    pub fn set_proxies(&mut self, now: Moment, proxies: u32) {
+        if proxies >= self.proxies || now.since(self.proxies_at) > SHARE_LIFETIME {
+            self.proxies = proxies;
+            self.proxies_at = now;
+        }
+    }
+
     /// An operation asks for a token. A waiting one is settled by `on_issue` or `expire`.
     pub fn take(&mut self, now: Moment, tenant: T, waiter: W, deadline: Moment) -> Admission {
         if !self.limited.contains(&tenant) {
             return Admission::Go;
         }
         let stock = self.stocks.entry(tenant).or_insert_with(Stock::new);
+        if let Some(contact_at) = self.contact_at {
+            stock.set_absence(Absence::after(contact_at));
+        }
         stock.take(now, waiter, deadline)
     }
 
@@ -134,10 +160,19 @@
         else {
             return;
         };
-        self.received = issue.number;
+        // The issuer takes what was received as a sign of contact.
+        let is_contact = now.since(pending.sent_at) <= PROMPT_TIME;
+        if is_contact {
+            self.received = issue.number;
+            self.contact_at = Some(pending.sent_at);
+            let absence = Absence::after(pending.sent_at);
+            let stocks = self.stocks.values_mut();
+            stocks.for_each(|stock| stock.set_absence(absence));
+        }
         let answered = Answered {
             expires_at: pending.sent_at.later(self.lifetime),
             is_prompt: now.since(pending.sent_at) <= self.prompt_time(),
+            is_contact,
         };
         for grant in &issue.grants {
             if let Some(stock) = self.stocks.get_mut(&grant.tenant) {
@@ -164,6 +199,7 @@
         self.number = 0;
         self.received = 0;
         self.pending = None;
+        self.greet_until = None;
         for stock in self.stocks.values_mut() {
             stock.on_disconnected();
         }
@@ -172,6 +208,7 @@
     fn claim(&mut self, now: Moment) -> Claim<T> {
         self.number += 1;
         self.claimed_at = now;
+        self.greet_until.get_or_insert(now.later(GREETING_TIME));
         self.pending = Some(Pending {
             number: self.number,
             sent_at: now,
@@ -184,6 +221,7 @@
         Claim {
             number: self.number,
             received: self.received,
+            proxies: self.proxies,
             needs: needs.take(MAX_NEEDS).collect(),
         }
     }
@@ -192,9 +230,10 @@
     fn claim_due(&self) -> Option<Moment> {
         let report_at = self.claimed_at.later(REPORT_INTERVAL);
         let stocks = self.stocks.iter();
-        stocks
-            .filter(|(tenant, _)| self.limited.contains(tenant))
-            .filter_map(|(_, stock)| stock.claim_due(report_at))
+        let stocks = stocks.filter(|(tenant, _)| self.limited.contains(tenant));
+        let dues = stocks.filter_map(|(_, stock)| stock.claim_due(report_at));
+        let greets = self.greet_until.is_none_or(|until| report_at < until);
+        dues.chain((greets && !self.limited.is_empty()).then_some(report_at))
             .min()
     }
 
--- a/components/ratelimit/src/issuer.rs
+++ b/components/ratelimit/src/issuer.rs
@@ -6,13 +6,18 @@
 use clock::Moment;
 use registry::tenant::Rate;
 
+use crate::account::Account;
 use crate::bucket::{Bucket, MAX_RETRY};
-use crate::message::{Claim, Grant, Issue, MAX_NEEDS, Need};
+use crate::message::{CHECK_INTERVAL, Claim, Grant, Issue, MAX_NEEDS, Need, SHARE_LIFETIME};
 
 /// Highest number of holders. Bounds the memory that faulty peers can cause to be used; the largest
 /// deployment has 82.
 const MAX_HOLDERS: usize = 4096;
 
+/// Time for which all proxies have to be in contact before none counts as unknown. The earlier stream
+/// of a proxy, which counts as another holder, is silent by then.
+const COMPLETE_TIME: Duration = Duration::from_millis(700);
+
 /// What an issuer tolerates.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limit {
@@ -22,14 +27,6 @@
     pub slack: u64,
 }
 
-/// What is known of a holder.
-#[derive(Debug)]
-struct Account {
-    /// Number of its last claim.
-    number: u64,
-    heard_at: Moment,
-}
-
 /// Issues tokens to holders. A holder is one stream of a proxy: a new stream is a new holder, or
 /// begins after `on_lost`.
 #[derive(Debug)]
@@ -40,8 +37,13 @@
     /// Invariant: at most `MAX_HOLDERS`.
     accounts: BTreeMap<H, Account>,
     started_at: Moment,
-    /// When the accounts of silent holders were last removed.
+    /// When silent holders were last looked for, and when buckets were last freed of expired tokens.
+    checked_at: Moment,
     swept_at: Moment,
+    /// Highest number of proxies that a holder reported.
+    proxies: usize,
+    /// Since when that number of holders is in contact.
+    complete_since: Option<Moment>,
 }
 
 impl<T: Clone + Ord, H: Copy + Ord> Issuer<T, H> {
@@ -53,7 +55,10 @@
             buckets: BTreeMap::new(),
             accounts: BTreeMap::new(),
             started_at: now,
+            checked_at: now,
             swept_at: now,
+            proxies: 1,
+            complete_since: None,
         }
     }
 
@@ -79,8 +84,10 @@
 
     /// Answers a claim. A claim that was answered before gets no tokens.
     pub fn on_claim(&mut self, now: Moment, holder: H, claim: &Claim<T>) -> Issue<T> {
+        self.check_silence(now);
         self.sweep(now);
-        let is_known = self.hear(now, holder, claim.number);
+        self.proxies = self.proxies.max(claim.proxies as usize);
+        let is_known = self.hear(now, holder, claim);
         let needs = claim.needs.iter().take(MAX_NEEDS);
         let grants = match is_known {
             Some(true) => needs
@@ -96,8 +103,13 @@
     }
 
     /// The stream of a holder has ended. Its tokens count as held until they expire.
-    pub fn on_lost(&mut self, _now: Moment, holder: H) {
-        self.accounts.remove(&holder);
+    pub fn on_lost(&mut self, now: Moment, holder: H) {
+        let account = self.accounts.get_mut(&holder);
+        if account.is_some_and(|account| account.has_share) {
+            self.set_silent(now, holder, true);
+        } else {
+            self.forget(now, holder);
+        }
         for bucket in self.buckets.values_mut() {
             bucket.on_lost(holder);
         }
@@ -107,7 +119,10 @@
     pub fn restart(&mut self, now: Moment) {
         self.accounts.clear();
         self.started_at = now;
+        self.checked_at = now;
         self.swept_at = now;
+        self.proxies = 1;
+        self.complete_since = None;
         let limit = self.limit;
         for bucket in self.buckets.values_mut() {
             *bucket = Bucket::empty(now, bucket.rate(), limit);
@@ -115,48 +130,162 @@
     }
 
     /// Records a claim: whether it is a new one, `None` if there are too many holders.
-    fn hear(&mut self, now: Moment, holder: H, number: u64) -> Option<bool> {
+    fn hear(&mut self, now: Moment, holder: H, claim: &Claim<T>) -> Option<bool> {
         let has_room = self.accounts.len() < MAX_HOLDERS;
-        if !has_room && !self.accounts.contains_key(&holder) {
+        let is_first = !self.accounts.contains_key(&holder);
+        if !has_room && is_first {
             return None;
         }
-        let account = self.accounts.entry(holder).or_insert(Account {
-            number: 0,
-            heard_at: now,
-        });
-        account.heard_at = now;
-        let is_new = number > account.number;
-        account.number = account.number.max(number);
+        if is_first {
+            self.recover_shares(now, claim);
+        }
+        let account = self.accounts.entry(holder);
+        let account = account.or_insert_with(|| Account::new(now));
+        let is_new = account.hear(now, claim);
+        if account.is_silent && account.silent_at().is_some_and(|at| now < at) {
+            self.set_silent(now, holder, false);
+        }
         Some(is_new)
     }
 
+    /// Counts the shares that a new holder reports no longer as those of unknown or silent holders: it
+    /// had them on an earlier stream. Those that expire first are taken first, so that the sum of the
+    /// others is not too low at any time.
+    fn recover_shares(&mut self, now: Moment, claim: &Claim<T>) {
+        if claim.needs.iter().all(|need| need.share_milli == 0) {
+            return;
+        }
+        let silent = self
+            .accounts
+            .iter()
+            .filter(|(_, account)| account.is_silent);
+        let mut silent: Vec<(Moment, H)> = silent.map(|(id, of)| (of.heard_at, *id)).collect();
+        silent.sort_unstable();
+        for need in claim.needs.iter().take(MAX_NEEDS) {
+            let Some(bucket) = self.buckets.get_mut(&need.tenant) else {
+                continue;
+            };
+            let mut left = bucket.take_unknown(now, need.share_milli);
+            for (_, holder) in &silent {
+                if left == 0 {
+                    break;
+                }
+                left -= bucket.shares.take_back(now, *holder, left);
+            }
+        }
+    }
+
+    /// Counts a holder as silent or not, for all tenants.
+    fn set_silent(&mut self, now: Moment, holder: H, is_silent: bool) {
+        if let Some(account) = self.accounts.get_mut(&holder) {
+            account.is_silent = is_silent;
+        }
+        for bucket in self.buckets.values_mut() {
+            if !bucket.shares.is_new(holder) {
+                bucket.advance(now);
+                bucket.shares.set_silent(holder, is_silent);
+            }
+        }
+    }
+
+    fn forget(&mut self, now: Moment, holder: H) {
+        self.accounts.remove(&holder);
+        for bucket in self.buckets.values_mut() {
+            if !bucket.shares.is_new(holder) {
+                bucket.advance(now);
+                bucket.shares.remove(now, holder);
+            }
+        }
+    }
+
+    /// Counts the holders as silent of which no answer has arrived for long, each from its time on,
+    /// and forgets those whose shares have expired.
+    fn check_silence(&mut self, now: Moment) {
+        if now.since(self.checked_at) < CHECK_INTERVAL {
+            return;
+        }
+        self.checked_at = now;
+        let accounts = self
+            .accounts
+            .iter()
+            .filter(|(_, account)| !account.is_silent);
+        let due = accounts.filter_map(|(holder, account)| Some((account.silent_at()?, *holder)));
+        let mut due: Vec<(Moment, H)> = due.filter(|(at, _)| *at <= now).collect();
+        due.sort_unstable();
+        for (at, holder) in due {
+            self.set_silent(at, holder, true);
+        }
+        let lifetime = self.limit.lifetime;
+        let expired = self.accounts.iter().filter(|(_, account)| {
+            let kept = if account.has_share {
+                SHARE_LIFETIME
+            } else {
+                lifetime
+            };
+            now.since(account.heard_at) > kept
+        });
+        let expired: Vec<H> = expired.map(|(holder, _)| *holder).collect();
+        for holder in expired {
+            self.forget(now, holder);
+        }
+        self.check_complete(now);
+    }
+
+    /// In the first time, holders of an earlier issuer may be missing.
+    fn check_complete(&mut self, now: Moment) {
+        if now.since(self.started_at) > SHARE_LIFETIME {
+            return;
+        }
+        let accounts = self.accounts.values();
+        let in_contact = accounts.filter(|account| !account.is_silent).count();
+        if in_contact < self.proxies {
+            self.complete_since = None;
+            return;
+        }
+        let since = *self.complete_since.get_or_insert(now);
+        if now.since(since) >= COMPLETE_TIME {
+            for bucket in self.buckets.values_mut() {
+                bucket.on_complete(now);
+            }
+        }
+    }
+
     fn grant(&mut self, now: Moment, holder: H, claim: &Claim<T>, need: &Need<T>) -> Grant<T> {
         let Some(bucket) = self.buckets.get_mut(&need.tenant) else {
             return Grant {
                 tenant: need.tenant.clone(),
                 tokens: need.waiting,
                 retry_in: Duration::ZERO,
+                share_milli: 0,
             };
         };
         bucket.on_report(now, holder, claim.received, need);
+        let silent = self
+            .accounts
+            .get(&holder)
+            .is_none_or(|account| account.is_silent);
+        bucket
+            .shares
+            .on_report(now, holder, need.share_milli, silent);
         let (tokens, retry_in) = bucket.issue(now, holder, claim.number, need);
+        let share_milli = bucket.divide(now, holder, need, tokens);
+        if let Some(account) = self.accounts.get_mut(&holder) {
+            account.has_share |= need.share_milli > 0 || share_milli > 0;
+        }
         Grant {
             tenant: need.tenant.clone(),
             tokens,
             retry_in,
+            share_milli,
         }
     }
 
-    /// Forgets holders that were silent for a lifetime, and tokens that have expired: those of a tenant
-    /// without claims stay until then.
+    /// Removes tokens that have expired: those of a tenant without claims stay until then.
     fn sweep(&mut self, now: Moment) {
-        let lifetime = self.limit.lifetime;
-        if now.since(self.swept_at) < lifetime {
+        if now.since(self.swept_at) < self.limit.lifetime {
             return;
         }
         self.swept_at = now;
-        self.accounts
-            .retain(|_, account| now.since(account.heard_at) <= lifetime);
         for bucket in self.buckets.values_mut() {
             bucket.advance(now);
         }
@@ -168,5 +297,6 @@
         tenant: need.tenant.clone(),
         tokens: 0,
         retry_in: MAX_RETRY,
+        share_milli: 0,
     }
 }
--- a/components/ratelimit/src/lib.rs
+++ b/components/ratelimit/src/lib.rs
@@ -4,11 +4,14 @@
 //! Load answered: a tenant that sends several times its limit over all proxies, a tenant with few
 //! operations per second over many proxies, and callers that move to another proxy at once.
 
+mod account;
 mod bucket;
 mod convert;
 mod holder;
 mod issuer;
+mod local;
 mod message;
+mod shares;
 mod stock;
 mod usage;
 
--- a/components/ratelimit/src/message.rs
+++ b/components/ratelimit/src/message.rs
@@ -6,6 +6,16 @@
 /// it go into the next claim.
 pub const MAX_NEEDS: usize = 1024;
 
+/// Time after the last answered claim from which a holder spends its shares.
+pub const CONTACT_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time after the last answered claim until which it does.
+pub const SHARE_LIFETIME: Duration = Duration::from_secs(15);
+/// Longest time from a claim to an answer that counts as contact. The issuer knows when a claim arrived,
+/// not when it was sent.
+pub const PROMPT_TIME: Duration = Duration::from_millis(400);
+/// Time between two checks of the issuer for silent holders.
+pub const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What a holder has and wants for one tenant.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Need<T> {
@@ -17,6 +27,8 @@
     /// Tokens that the holder wants to have unspent for coming operations, `held` included. If it is
     /// less than `held`, the holder has dropped the difference and the issuer can issue it again.
     pub ahead: u32,
+    /// Share of the rate that the holder has, in thousandths of an operation per second.
+    pub share_milli: u64,
 }
 
 /// A holder's request for tokens.
@@ -26,6 +38,8 @@
     pub number: u64,
     /// Number of the last issue that is counted in `held`; 0 for none.
     pub received: u64,
+    /// Highest number of proxies that the holder has heard of lately; 0 if unknown.
+    pub proxies: u32,
     /// Invariant: at most [`MAX_NEEDS`].
     pub needs: Vec<Need<T>>,
 }
@@ -38,6 +52,9 @@
     pub tokens: u32,
     /// Time until the refused operations can have tokens; zero if every waiting operation has a token.
     pub retry_in: Duration,
+    /// Share of the rate that the holder may use out of contact, in thousandths of an operation per
+    /// second.
+    pub share_milli: u64,
 }
 
 /// The issuer's answer to a claim.
--- a/components/ratelimit/src/stock.rs
+++ b/components/ratelimit/src/stock.rs
@@ -6,6 +6,7 @@
 use clock::Moment;
 
 use crate::holder::{Admission, Settled};
+use crate::local::{Absence, Local};
 use crate::message::{Grant, Need};
 use crate::usage::Usage;
 
@@ -19,6 +20,8 @@
 const AHEAD_INTERVAL: Duration = Duration::from_millis(100);
 /// Lifetime of a token given back. The issuer counts it as spent, so it is used soon or not at all.
 const RETURNED_LIFETIME: Duration = Duration::from_millis(250);
+/// Time before their expiry at which tokens are returned.
+const RENEWAL_TIME: Duration = Duration::from_secs(1);
 /// Tokens whose expiries lie within this time share one batch, which bounds the number of batches.
 const BATCH_SPAN: Duration = Duration::from_millis(100);
 /// Longest time without a claim after a shortage. With a longer one the bucket could reach its cap
@@ -61,6 +64,8 @@
     pub expires_at: Moment,
     /// Whether the answer is so recent that tokens counted as spent can be used.
     pub is_prompt: bool,
+    /// Whether the answer is so recent that it shows contact to the issuer.
+    pub is_contact: bool,
 }
 
 /// State of one tenant.
@@ -77,6 +82,9 @@
     /// Waiting operations that are in the claim under way.
     claimed: u32,
     usage: Usage,
+    local: Local,
+    /// When the share may be spent.
+    absence: Option<Absence>,
     shortage: Option<Shortage>,
     /// Operations refused in the present shortage.
     refused: u32,
@@ -93,6 +101,8 @@
             waiting: VecDeque::new(),
             claimed: 0,
             usage: Usage::default(),
+            local: Local::default(),
+            absence: None,
             shortage: None,
             refused: 0,
             ahead_from: Moment::default(),
@@ -104,7 +114,11 @@
         if self.waiting.is_empty() && self.spend(now) {
             return Admission::Go;
         }
-        if self.claim_from() > deadline || self.waiting.len() >= MAX_WAITING {
+        let late = match self.local_at(now, self.waiting.len()) {
+            Some(token_at) => token_at > deadline,
+            None => self.claim_from() > deadline,
+        };
+        if late || self.waiting.len() >= MAX_WAITING {
             return self.refusal(now);
         }
         self.waiting.push_back(Waiting { waiter, deadline });
@@ -123,9 +137,33 @@
         self.waiting.retain(|waiting| waiting.waiter != waiter);
     }
 
-    /// Drops expired tokens.
+    /// Sets when the share may be spent: after the contact that is the last one as yet.
+    pub fn set_absence(&mut self, absence: Absence) {
+        if self.absence != Some(absence) {
+            self.absence = Some(absence);
+            self.local.on_contact();
+        }
+    }
+
+    /// When an operation that `before` others precede has a token of the share, out of contact.
+    fn local_at(&self, now: Moment, before: usize) -> Option<Moment> {
+        self.absence.filter(|absence| absence.contains(now))?;
+        self.local.token_at(before)
+    }
+
+    /// Drops expired tokens, and adds those of the share.
     pub fn refresh(&mut self, now: Moment) {
         self.usage.refresh(now);
+        if let Some(absence) = self.absence {
+            self.local.fill(now, absence);
+        }
+        let is_expired = self.absence.is_none_or(|absence| absence.until <= now);
+        if is_expired || self.usage.unused_at() <= now {
+            self.local.drop_share();
+        }
+        if is_expired {
+            self.local.is_counted = false;
+        }
         self.batches.retain(|batch| batch.expires_at > now);
         self.held = self.batches.iter().map(|batch| batch.tokens).sum();
     }
@@ -133,7 +171,10 @@
     /// Whether nothing would be lost with this state.
     pub fn is_unused(&self, now: Moment) -> bool {
         let is_empty = self.waiting.is_empty() && self.held == 0 && self.reported == 0;
-        is_empty && self.claim_from() <= now && self.usage.idle_at() <= now
+        is_empty
+            && self.claim_from() <= now
+            && self.usage.unused_at() <= now
+            && !self.local.is_counted
     }
 
     /// From when on tokens may be claimed.
@@ -146,11 +187,12 @@
         let start = self.claim_from();
         let usage = self.usage.total();
         let is_low = usage >= MIN_USAGE && self.held < usage / 2;
+        let is_used = self.usage.last_at().is_some();
         let dues = [
             (!self.waiting.is_empty()).then_some(start),
             is_low.then_some(start.max(self.ahead_from)),
             (self.held != self.reported).then_some(report_at),
-            (self.held > 0).then(|| report_at.max(self.usage.idle_at())),
+            (is_used || self.local.is_counted).then_some(report_at),
         ];
         dues.into_iter().flatten().min()
     }
@@ -160,7 +202,12 @@
         if self.held > 0 && !self.waiting.is_empty() {
             return Some(Moment::default());
         }
-        self.waiting.iter().map(|waiting| waiting.deadline).min()
+        let token_at = self.absence.and_then(|absence| {
+            let token_at = self.local.token_at(0)?.max(absence.from);
+            (!self.waiting.is_empty() && token_at < absence.until).then_some(token_at)
+        });
+        let deadlines = self.waiting.iter().map(|waiting| waiting.deadline);
+        deadlines.chain(token_at).min()
     }
 
     /// What to claim, if anything.
@@ -168,7 +215,8 @@
         let is_short = self.claim_from() > now;
         let ahead = self.wanted_ahead(now, is_short);
         let waiting = if is_short { 0 } else { self.waiting.len() };
-        if waiting == 0 && ahead == self.held && self.held == self.reported {
+        let is_used = self.usage.unused_at() > now || self.local.is_counted;
+        if waiting == 0 && ahead == self.held && self.held == self.reported && !is_used {
             return None;
         }
         let held = self.held;
@@ -181,6 +229,7 @@
             held,
             waiting: self.claimed,
             ahead,
+            share_milli: self.local.share_milli(),
         })
     }
 
@@ -188,17 +237,30 @@
     /// so that uneven use does not move tokens to and fro.
     fn wanted_ahead(&self, now: Moment, is_short: bool) -> u32 {
         let usage = self.usage.total();
-        if self.usage.idle_at() <= now {
+        if self.usage.unused_at() <= now {
             0
+        } else if self.expiring(now) > 0 {
+            self.held - self.expiring(now)
+        } else if self.usage.idle_at() <= now {
+            1
         } else if self.held > usage.saturating_mul(2) {
             usage
-        } else if is_short || usage < MIN_USAGE {
+        } else if is_short {
             self.held
         } else {
-            usage.max(self.held)
+            usage.max(self.held).max(1)
         }
     }
 
+    /// Tokens that expire soon. They are returned: the issuer issues the same number again, but does
+    /// not replace those that expire.
+    fn expiring(&self, now: Moment) -> u32 {
+        let soon = now.later(RENEWAL_TIME);
+        let batches = self.batches.iter();
+        let expiring = batches.filter(|batch| batch.expires_at <= soon);
+        expiring.map(|batch| batch.tokens).sum()
+    }
+
     fn drop_oldest(&mut self, tokens: u32) {
         for _ in 0..tokens {
             self.remove_first();
@@ -228,6 +290,9 @@
         let kept = grant.tokens - spent;
         self.claimed = 0;
         self.reported = self.reported.saturating_add(kept);
+        if answered.is_contact {
+            self.local.set_share(grant.share_milli);
+        }
         if answered.is_prompt {
             self.start_waiting(now, spent, settled);
         }
@@ -245,7 +310,10 @@
         while !self.waiting.is_empty() && self.spend(now) {
             self.start_first(settled);
         }
-        self.refuse_late(now, self.claim_from(), settled);
+        // Out of contact the time that the issuer named says nothing about the share.
+        if self.local_at(now, 0).is_none() {
+            self.refuse_late(now, self.claim_from(), settled);
+        }
     }
 
     /// The tenant has no limit any more.
@@ -291,7 +359,7 @@
     }
 
     fn spend(&mut self, now: Moment) -> bool {
-        let has_token = self.remove_first();
+        let has_token = self.remove_first() || self.local.spend();
         if has_token {
             self.usage.add(now);
         }
@@ -354,12 +422,14 @@
     /// the longest time allows; beyond it the times are spread over its second half.
     fn refusal(&mut self, now: Moment) -> Admission {
         self.refused = self.refused.saturating_add(1);
-        let retry_in = match self.shortage {
-            Some(known) => {
+        let local_at = self.local_at(now, self.waiting.len());
+        let retry_in = match (local_at, self.shortage) {
+            (Some(token_at), _) => token_at.since(now),
+            (None, Some(known)) => {
                 let before_mine = known.pace.saturating_mul(self.refused);
                 known.until.since(now).saturating_add(before_mine)
             }
-            None => UNKNOWN_RETRY + self.spread(UNKNOWN_RETRY),
+            (None, None) => UNKNOWN_RETRY + self.spread(UNKNOWN_RETRY),
         };
         let retry_in = if retry_in > MAX_RETRY {
             MAX_RETRY / 2 + self.spread(MAX_RETRY / 2)
--- a/components/ratelimit/src/usage.rs
+++ b/components/ratelimit/src/usage.rs
@@ -11,13 +11,16 @@
 /// Length of the window.
 pub const WINDOW: Duration = Duration::from_millis(500);
 
+/// Time without an operation after which a tenant is no longer in use.
+const USE_TIME: Duration = Duration::from_secs(10);
+
 /// Counts of the slots of the window.
 #[derive(Debug, Default)]
 pub struct Usage {
     counts: [u32; SLOTS],
     /// Index of the current slot since the clock's zero.
     slot: u64,
-    last_at: Moment,
+    last_at: Option<Moment>,
 }
 
 impl Usage {
@@ -36,7 +39,7 @@
     pub fn add(&mut self, now: Moment) {
         self.refresh(now);
         self.counts[0] = self.counts[0].saturating_add(1);
-        self.last_at = now;
+        self.last_at = Some(now);
     }
 
     /// Takes back one operation; whether there was one in the window.
@@ -50,8 +53,19 @@
         self.counts.iter().fold(0, |sum, n| sum.saturating_add(*n))
     }
 
+    pub fn last_at(&self) -> Option<Moment> {
+        self.last_at
+    }
+
     /// When the window holds no operation any more, if no other follows.
     pub fn idle_at(&self) -> Moment {
-        self.last_at.later(WINDOW)
+        self.last_at.map(|at| at.later(WINDOW)).unwrap_or_default()
+    }
+
+    /// When the tenant is no longer in use, if no operation follows.
+    pub fn unused_at(&self) -> Moment {
+        self.last_at
+            .map(|at| at.later(USE_TIME))
+            .unwrap_or_default()
     }
 }
--- a/components/ratelimit/tests/messages.rs
+++ b/components/ratelimit/tests/messages.rs
@@ -10,10 +10,12 @@
         held: 2,
         waiting: 3,
         ahead: 4,
+        share_milli: 5,
     };
     Claim {
         number: 7,
         received: 6,
+        proxies: 8,
         needs: vec![need; needs],
     }
 }
@@ -24,6 +26,7 @@
     let message = claim(1).to_wire(|tenant| (*tenant == 1).then_some("one"));
     let received = Claim::try_from(message).unwrap();
     assert_eq!((received.number, received.received), (7, 6));
+    assert_eq!((received.proxies, received.needs[0].share_milli), (8, 5));
     let need = &received.needs[0];
     assert_eq!(need.tenant, "one");
     assert_eq!((need.held, need.waiting, need.ahead), (2, 3, 4));
@@ -45,6 +48,7 @@
         tenant: "one".to_owned(),
         tokens: 5,
         retry_in: Duration::from_micros(1200),
+        share_milli: 3,
     };
     let message = wire::Issue::from(Issue {
         number: 7,
@@ -53,6 +57,7 @@
     let received = Issue::from_wire(&message, |name| (name == "one").then_some(1)).unwrap();
     assert_eq!((received.number, received.grants[0].tenant), (7, 1));
     assert_eq!(received.grants[0].tokens, 5);
+    assert_eq!(received.grants[0].share_milli, 3);
     assert_eq!(received.grants[0].retry_in, Duration::from_millis(2));
     let unknown = Issue::<u8>::from_wire(&message, |_| None).unwrap();
     assert_eq!(unknown.grants, []);
--- a/components/ratelimit/tests/sim/mod.rs
+++ b/components/ratelimit/tests/sim/mod.rs
@@ -64,6 +64,7 @@
     pub issuer: Issuer<u8, (usize, u32)>,
     pub rates: Vec<(u8, Rate)>,
     slack: u64,
+    proxies: u32,
     nodes: Vec<Node>,
     messages: Vec<Message>,
     rng: SmallRng,
@@ -86,6 +87,7 @@
             issuer: Issuer::new(at(0), limit(slack)),
             rates,
             slack,
+            proxies: u32::try_from(nodes).unwrap(),
             nodes: Vec::new(),
             messages: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -103,6 +105,7 @@
     fn node(&self, stream: u32) -> Node {
         let mut holder = Holder::new(LIFETIME);
         holder.set_limited(self.rates.iter().map(|(tenant, _)| *tenant));
+        holder.set_proxies(at(self.now), self.proxies);
         Node {
             holder,
             stream,
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -403,11 +403,13 @@
     pub held: u32,
     pub waiting: u32,
     pub ahead: u32,
+    pub share_milli: u64,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Claim {
     pub number: u64,
     pub received: u64,
+    pub proxies: u32,
     pub needs: Vec<Need>,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -415,6 +417,7 @@
     pub tenant: String,
     pub tokens: u32,
     pub retry_in_ms: u32,
+    pub share_milli: u64,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Issue {
