Release the shares of a proxy that has restarted

Cause: each restarted or reconnected proxy was another holder, and the shares of the old one were withheld for 15 s.

Change: claims name the entry, and a new stream of an entry takes the place of its earlier one.

--- a/components/coordinator/src/rate.rs
+++ b/components/coordinator/src/rate.rs
@@ -18,6 +18,9 @@
 /// Streams that are kept. Each holds a file descriptor, of which a coordinator has 4,096 in all, and
 /// there are fewer entries.
 const MAX_STREAMS: usize = 512;
+/// Entries whose latest streams are remembered. Names of entries that are gone stay until this
+/// instance no longer leads.
+const MAX_ENTRIES: usize = 4096;
 /// Time without issues after a suspension of the machine. The confirmation of the leadership does not
 /// count suspended time, so another leader may issue tokens meanwhile.
 const SUSPENSION_PAUSE: Duration = Duration::from_secs(1);
@@ -51,6 +54,8 @@
 pub struct Rates {
     office: Option<Office>,
     streams: BTreeMap<StreamId, Stream>,
+    /// Latest stream of each entry, which may have ended. Invariant: at most `MAX_ENTRIES`.
+    latest: BTreeMap<String, StreamId>,
 }
 
 impl Rates {
@@ -75,6 +80,7 @@
     pub fn stop(&mut self) {
         self.office = None;
         self.streams.clear();
+        self.latest.clear();
     }
 
     /// Sets the limits to those of a plan.
@@ -106,6 +112,23 @@
         }
     }
 
+    /// Has the stream of an entry take the place of its earlier one.
+    fn replace(&mut self, moment: Moment, instance: &str, id: StreamId) {
+        let has_room = self.latest.len() < MAX_ENTRIES;
+        let earlier = match self.latest.get_mut(instance) {
+            Some(latest) if *latest != id => std::mem::replace(latest, id),
+            None if has_room => {
+                self.latest.insert(instance.to_owned(), id);
+                return;
+            }
+            Some(_) | None => return,
+        };
+        self.streams.remove(&earlier);
+        if let Some(office) = &mut self.office {
+            office.issuer.on_replaced(moment, earlier, id);
+        }
+    }
+
     fn close(&mut self, moment: Moment, id: StreamId) {
         if self.streams.remove(&id).is_some()
             && let Some(office) = &mut self.office
@@ -163,7 +186,12 @@
 impl<A: Api, C: Connection> Loop<A, C> {
     pub(crate) fn on_rate(&mut self, id: StreamId, event: link::Event<wire::Claim>) {
         let claim = match event {
-            link::Event::Message(claim) => Claim::try_from(claim),
+            link::Event::Message(claim) => {
+                if self.rates.streams.contains_key(&id) {
+                    self.rates.replace(Boot.moment(), &claim.instance, id);
+                }
+                Claim::try_from(claim)
+            }
             link::Event::Closed(_) => return self.rates.close(Boot.moment(), id),
         };
         match claim {
--- a/components/proxy/src/rate.rs
+++ b/components/proxy/src/rate.rs
@@ -351,7 +351,9 @@
         if let Some(claim) = rates.holder.next_claim(moment)
             && let State::Up { out, .. } = &rates.state
         {
-            let claim = claim.to_wire(|id| Some(self.directory.name(*id)));
+            let claim = claim.to_wire(self.settings.instance.as_str(), |id| {
+                Some(self.directory.name(*id))
+            });
             if rates.claimed_at.is_some() || out.try_send(claim).is_err() {
                 rates.disconnect(now, "silent");
             } else {
--- a/components/ratelimit/src/account.rs
+++ b/components/ratelimit/src/account.rs
@@ -38,6 +38,15 @@
         }
     }
 
+    /// The account of the same proxy on another stream, on which it has sent nothing so far.
+    pub fn successor(&self, now: Moment) -> Self {
+        Self {
+            heard_at: self.heard_at,
+            has_share: self.has_share,
+            ..Self::new(now)
+        }
+    }
+
     /// Records a claim: whether it is a new one.
     pub fn hear<T>(&mut self, now: Moment, claim: &Claim<T>) -> bool {
         self.heard_at = now;
--- a/components/ratelimit/src/convert.rs
+++ b/components/ratelimit/src/convert.rs
@@ -49,9 +49,9 @@
 }
 
 impl<T> Claim<T> {
-    /// The message for this claim. `name` gives the name of a tenant; needs of tenants without one
-    /// are left out.
-    pub fn to_wire<'a>(&self, name: impl Fn(&T) -> Option<&'a str>) -> wire::Claim {
+    /// The message for this claim of the proxy `instance`. `name` gives the name of a tenant; needs of
+    /// tenants without one are left out.
+    pub fn to_wire<'a>(&self, instance: &str, name: impl Fn(&T) -> Option<&'a str>) -> wire::Claim {
         let needs = self.needs.iter().filter_map(|need| {
             Some(wire::Need {
                 tenant: name(&need.tenant)?.to_owned(),
@@ -65,6 +65,7 @@
             number: self.number,
             received: self.received,
             proxies: self.proxies,
+            instance: instance.to_owned(),
             needs: needs.collect(),
         }
     }
--- a/components/ratelimit/src/issuer.rs
+++ b/components/ratelimit/src/issuer.rs
@@ -139,6 +139,21 @@
         }
     }
 
+    /// The proxy of a holder has opened another stream and spends nothing as the old holder any more.
+    /// The new one reports what it has left of the shares, which is nothing after a restart; without
+    /// this the shares of each restarted proxy were withheld for 15 s.
+    pub fn on_replaced(&mut self, now: Moment, old: H, new: H) {
+        self.set_silent(now, old, true);
+        let Some(account) = self.accounts.remove(&old) else {
+            return;
+        };
+        self.accounts.insert(new, account.successor(now));
+        for bucket in self.buckets.values_mut() {
+            bucket.on_lost(old);
+            bucket.shares.rename(old, new);
+        }
+    }
+
     /// Forgets what was issued, like a new leader.
     pub fn restart(&mut self, now: Moment) {
         self.accounts.clear();
--- a/components/ratelimit/src/shares.rs
+++ b/components/ratelimit/src/shares.rs
@@ -162,6 +162,13 @@
         taken
     }
 
+    /// Gives the entry of a holder to its successor.
+    pub fn rename(&mut self, old: H, new: H) {
+        if let Some(entry) = self.entries.remove(&old) {
+            self.entries.insert(new, entry);
+        }
+    }
+
     /// Forgets a holder, whose share has expired.
     pub fn remove(&mut self, now: Moment, holder: H) {
         self.set(now, holder, 0);
--- a/components/ratelimit/tests/messages.rs
+++ b/components/ratelimit/tests/messages.rs
@@ -23,20 +23,20 @@
 /// Guards against fields that are exchanged, and needs without a name that reach the issuer.
 #[test]
 fn claims_give_tenants_by_name() {
-    let message = claim(1).to_wire(|tenant| (*tenant == 1).then_some("one"));
+    let message = claim(1).to_wire("e1", |tenant| (*tenant == 1).then_some("one"));
     let received = Claim::try_from(message).unwrap();
     assert_eq!((received.number, received.received), (7, 6));
     assert_eq!((received.proxies, received.needs[0].share_milli), (8, 5));
     let need = &received.needs[0];
     assert_eq!(need.tenant, "one");
     assert_eq!((need.held, need.waiting, need.ahead), (2, 3, 4));
-    assert_eq!(claim(1).to_wire(|_| None).needs, []);
+    assert_eq!(claim(1).to_wire("e1", |_| None).needs, []);
 }
 
 /// Guards against a message that makes the issuer do unbounded work.
 #[test]
 fn long_claims_are_rejected() {
-    let message = claim(MAX_NEEDS + 1).to_wire(|_| Some("one"));
+    let message = claim(MAX_NEEDS + 1).to_wire("e1", |_| Some("one"));
     let error = Claim::try_from(message).unwrap_err();
     assert!(error.to_string().contains("1025 tenants"), "{error}");
 }
--- a/components/wire/src/generated.rs
+++ b/components/wire/src/generated.rs
@@ -410,6 +410,7 @@
     pub number: u64,
     pub received: u64,
     pub proxies: u32,
+    pub instance: String,
     pub needs: Vec<Need>,
 }
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
