Roll back the transaction of a session that the proxy ends

Cause: after a malformed or too large message `end_session` only marked the session as closing, and `flush` removed it from the map without a rollback. Its connection kept the key of a session that no longer existed: not idle, not closed, counted as running for good.

Change: `end_session` rolls the transaction back at once, so that a caller that reads slowly keeps nothing either, and `flush` removes sessions by `remove_session`, as after a disconnect. The connection is used again after the rollback; no connection is replaced. Three gauges tell the connections, the borrowed ones and those that are neither idle nor in use, including wrong counts of running, opening and borrowed connections.

--- a/components/proxy/src/caller.rs
+++ b/components/proxy/src/caller.rs
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Removes the session of a caller that has disconnected, and rolls back its transaction.
+    /// Removes a session and rolls back its transaction, also if its caller has disconnected.
     pub(crate) fn remove_session(&mut self, now: Instant, key: SessionKey) {
         self.unconfirmed.remove(key);
         self.roll_back_on_server(now, key);
--- a/components/proxy/src/lend.rs
+++ b/components/proxy/src/lend.rs
@@ -114,7 +114,7 @@
         }
     }
 
-    fn lent_conn(&self, stream: u64, loan: u64) -> Option<ConnKey> {
+    pub(crate) fn lent_conn(&self, stream: u64, loan: u64) -> Option<ConnKey> {
         *self.borrowers.0.get(&stream)?.loans.get(&loan)?
     }
 
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod protocol;
 pub mod tenant;
 
+mod accounts;
 mod answer;
 mod borrow;
 mod caller;
--- a/components/proxy/src/metrics.rs
+++ b/components/proxy/src/metrics.rs
@@ -24,6 +24,12 @@
     /// Connections requested from lenders.
     pub loans: Counter,
     pub sessions: Gauge,
+    /// Connections to servers that are open, being opened, or borrowed.
+    pub server_connections: Gauge,
+    /// Connections borrowed or requested from lenders, which are also in `server_connections`.
+    pub borrowed_connections: Gauge,
+    /// Connections that are neither idle nor in use, and deviations of the servers' counts.
+    pub unaccounted: Gauge,
     /// Statements that wait for a connection.
     pub waiting: Gauge,
     /// Log lines dropped by the rate limit.
@@ -48,6 +54,15 @@
             common.counter("connections_opened", "Connections opened to servers");
         let loans = common.counter("loans", "Connections asked for at other entries");
         let sessions = common.gauge("sessions", "Open sessions");
+        let server_connections = common.gauge("server_connections", "Connections to servers");
+        let borrowed_connections = common.gauge(
+            "borrowed_connections",
+            "Connections borrowed from other entries",
+        );
+        let unaccounted = common.gauge(
+            "unaccounted",
+            "Connections neither idle nor in use, and wrong counts",
+        );
         let waiting = common.gauge("waiting", "Statements that wait for a connection");
         let log_lines_dropped =
             common.counter("log_lines_dropped", "Log lines left out to bound the log");
@@ -71,6 +86,9 @@
             connections_opened,
             loans,
             sessions,
+            server_connections,
+            borrowed_connections,
+            unaccounted,
             waiting,
             log_lines_dropped,
             statement_seconds,
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -326,6 +326,10 @@
         self.maintain_subscription(now);
         let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         self.metrics.sessions.set(gauge(self.sessions.len()));
+        self.metrics.server_connections.set(gauge(self.conns.len()));
+        let borrowed = self.servers.iter().map(|server| server.borrowed).sum();
+        self.metrics.borrowed_connections.set(gauge(borrowed));
+        self.metrics.unaccounted.set(gauge(self.unaccounted()));
         let waiting = self
             .services
             .iter()
@@ -375,7 +379,7 @@
             });
             if session.closing && session.handle.backlog_bytes() == 0 {
                 // The socket is closed after the bytes that were handed to it.
-                self.sessions.remove(key);
+                self.remove_session(now, key);
             }
         }
     }
--- a/components/proxy/src/stop.rs
+++ b/components/proxy/src/stop.rs
@@ -95,13 +95,14 @@
             .collect::<Vec<_>>()
         {
             self.metrics.common.refusals.add(Reason::Stopping.label());
-            self.roll_back_on_server(now, key);
             self.end_session(key);
         }
     }
 
-    /// Closes a session after the bytes that are to be sent.
+    /// Closes a session after the bytes that are to be sent. Its transaction is rolled back at once,
+    /// as a caller that reads slowly would otherwise keep the connection to the server.
     pub(crate) fn end_session(&mut self, key: SessionKey) {
+        self.roll_back_on_server(crate::process::now(), key);
         if let Some(session) = self.sessions.get_mut(key) {
             session.closing = true;
             self.dirty_sessions.push(key);
