Wait for the last bytes of callers before a stopped proxy ends

Cause: a session ended once its bytes were in the channel to the writer task, and the process 200 ms after the last session, whatever the writers still had to send.

Change: the writer task of a removed session is waited for, and a stopping proxy ends 200 ms after the last of them, or at its deadline as before, 300 ms before `stop_timeout_s`. A stalled caller can't be told from one that reads on later and is waited for until then; it keeps no session and no connection open. The end of a connection ends the wait.

--- a/components/link/src/io.rs
+++ b/components/link/src/io.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 
 /// Maximum number of chunks in the channel to the writer task; further ones go to the backlog.
 const MAX_QUEUED_CHUNKS: usize = 32;
@@ -42,6 +42,8 @@
     /// Chunks that did not fit into the channel. Invariant: empty unless a task waits for room.
     backlog: VecDeque<Bytes>,
     backlog_bytes: usize,
+    /// Ends once the channel is closed and its chunks are written, or the connection has failed.
+    writer: JoinHandle<()>,
 }
 
 /// Starts the reader and writer tasks of a connection. `received` holds bytes that were read from
@@ -59,7 +61,7 @@
     let (reader, writer) = socket.into_split();
     let (out, outgoing) = mpsc::channel(MAX_QUEUED_CHUNKS);
     let (mode, modes) = mpsc::unbounded_channel();
-    spawn_local(write(writer, outgoing));
+    let writer = spawn_local(write(writer, outgoing));
     spawn_local(self::read(reader, received, modes, events, wrap));
     Handle {
         out,
@@ -67,6 +69,7 @@
         paused: false,
         backlog: VecDeque::new(),
         backlog_bytes: 0,
+        writer,
     }
 }
 
@@ -122,6 +125,16 @@
         self.backlog_bytes
     }
 
+    /// Closes the connection, and waits until the chunks in the channel are written or the
+    /// connection has failed. The backlog is lost.
+    pub async fn finish(self) {
+        let Self {
+            out, mode, writer, ..
+        } = self;
+        drop((out, mode));
+        let _ended = writer.await;
+    }
+
     /// Stops reading from the socket, so that TCP flow control slows down the peer.
     pub fn pause(&mut self) {
         if !self.paused {
--- a/components/proxy/src/caller.rs
+++ b/components/proxy/src/caller.rs
@@ -82,19 +82,6 @@
         }
     }
 
-    /// Removes a session and rolls back its transaction, also if its caller has disconnected.
-    pub(crate) fn remove_session(&mut self, now: Instant, key: SessionKey) {
-        self.unconfirmed.remove(key);
-        self.roll_back_on_server(now, key);
-        let Some(session) = self.sessions.remove(key) else {
-            return;
-        };
-        if let Some(query) = session.query {
-            self.abandon(&query);
-            self.log_outcome(now, &query, "caller_gone", None);
-        }
-    }
-
     /// Processes a session's messages until one has to wait for a server.
     pub(crate) fn process_inbox(&mut self, now: Instant, key: SessionKey) {
         loop {
--- a/components/proxy/src/event.rs
+++ b/components/proxy/src/event.rs
@@ -21,6 +21,8 @@
     Accepted(TcpStream),
     /// Bytes of a caller, or the end of its connection.
     Session(SessionKey, io::Event),
+    /// The last bytes of a caller whose session has ended are written, or its connection has failed.
+    CallerFinished,
     /// Result of opening a connection to a server.
     ConnOpened(ConnKey, std::io::Result<TcpStream>),
     /// Bytes of a server, or the end of its connection.
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -65,6 +65,8 @@
     pub(crate) directory: Directory,
     pub(crate) unconfirmed: Unconfirmed,
     pub(crate) sessions: SlotMap<SessionKey, Session>,
+    /// Number of callers whose sessions have ended and whose last bytes are being written.
+    pub(crate) finishing_callers: usize,
     pub(crate) conns: SlotMap<ConnKey, Conn>,
     /// Servers. The index of a server stays valid after it has been removed.
     pub(crate) servers: Vec<Server>,
@@ -206,6 +208,7 @@
             directory: Directory::default(),
             unconfirmed: Unconfirmed::default(),
             sessions: SlotMap::with_key(),
+            finishing_callers: 0,
             conns: SlotMap::with_key(),
             servers: Vec::new(),
             server_indices: HashMap::default(),
@@ -268,6 +271,9 @@
         match event {
             Event::Accepted(socket) => self.on_accepted(socket),
             Event::Session(key, event) => self.on_session(now, key, event),
+            Event::CallerFinished => {
+                self.finishing_callers = self.finishing_callers.saturating_sub(1);
+            }
             Event::ConnOpened(key, result) => self.on_conn_opened(now, key, result),
             Event::Conn(key, event) => self.on_conn(now, key, event),
             Event::CoordinatorDialed(dial, out) => self.on_coordinator_dialed(now, dial, out),
--- a/components/proxy/src/stop.rs
+++ b/components/proxy/src/stop.rs
@@ -1,9 +1,12 @@
-//! Graceful stop: the proxy first reports that it is not ready, then closes sessions between
-//! transactions.
+//! Ends of sessions, and graceful stop: the proxy first reports that it is not ready, then closes
+//! sessions between transactions, and ends once the last bytes of callers are written.
 
 use std::time::{Duration, Instant};
 
-use crate::event::SessionKey;
+use link::io;
+use tokio::task::spawn_local;
+
+use crate::event::{Event, SessionKey};
 use crate::process::Loop;
 use crate::protocol::Protocol;
 use crate::refuse::Reason;
@@ -30,7 +33,7 @@
     end_transactions_at: Instant,
     /// When the process ends.
     deadline: Instant,
-    /// Since when there are neither sessions nor loans.
+    /// Since when there are neither sessions nor loans, and all answers are written.
     empty_since: Option<Instant>,
 }
 
@@ -74,7 +77,8 @@
             return;
         }
         if let Some(stop) = &mut self.stop {
-            let empty = self.sessions.is_empty() && self.borrowers.is_idle();
+            let written = self.sessions.is_empty() && self.finishing_callers == 0;
+            let empty = written && self.borrowers.is_idle();
             stop.empty_since = empty.then(|| stop.empty_since.unwrap_or(now));
         }
         let idle = |key: &SessionKey| self.sessions.get(*key).is_some_and(|s| s.is_idle());
@@ -99,6 +103,31 @@
         }
     }
 
+    /// Removes a session and rolls back its transaction, also if its caller has disconnected.
+    pub(crate) fn remove_session(&mut self, now: Instant, key: SessionKey) {
+        self.unconfirmed.remove(key);
+        self.roll_back_on_server(now, key);
+        let Some(session) = self.sessions.remove(key) else {
+            return;
+        };
+        if let Some(query) = session.query {
+            self.abandon(&query);
+            self.log_outcome(now, &query, "caller_gone", None);
+        }
+        self.finish_writes(session.handle);
+    }
+
+    /// Has a caller's last bytes written. A stop waits for them until its deadline: a caller that
+    /// reads slowly can't be told from one that has stalled.
+    pub(crate) fn finish_writes(&mut self, handle: io::Handle) {
+        self.finishing_callers += 1;
+        let events = self.events.clone();
+        spawn_local(async move {
+            handle.finish().await;
+            let _ended = events.send(Event::CallerFinished).await;
+        });
+    }
+
     /// Closes a session after the bytes that are to be sent. Its transaction is rolled back at once,
     /// as a caller that reads slowly would otherwise keep the connection to the server.
     pub(crate) fn end_session(&mut self, key: SessionKey) {
