Report a failed connection while reading from it is paused

Cause: a socket that isn't read reports its end only by the failure of a write. The task that waits for room in the channel sent nothing if the writer had ended, so that a session with a backlog and a paused reader stayed for good, and a stop waited for it until its deadline.

Change: the task reports `Writable` in that case too; `on_writable` then drops the backlog.

Measured: link's reports_a_lost_peer_while_reading_is_paused fails before (28 MB kept after 5 s, 1 of 1 run) and passes after; 191 of 191 tests of proxy, platform, link and entry pass.

--- a/components/link/src/io.rs
+++ b/components/link/src/io.rs
@@ -201,7 +201,8 @@
 }
 
 /// Starts a task that sends `event`, which holds [`Event::Writable`], once the channel `out` of a
-/// connection has room.
+/// connection has room, or the writer task has ended. While reading is paused nothing else reports
+/// that the connection has failed.
 pub fn notify_when_writable<E: 'static>(
     out: mpsc::Sender<Bytes>,
     events: mpsc::Sender<E>,
@@ -210,9 +211,7 @@
     spawn_local(async move {
         // The permit is released immediately; the event loop is the only sender, so the room
         // remains.
-        let has_room = out.reserve().await.is_ok();
-        if has_room {
-            let _result = events.send(event).await;
-        }
+        drop(out.reserve().await);
+        let _result = events.send(event).await;
     });
 }
