--- a/components/link/src/io.rs
+++ b/components/link/src/io.rs
@@ -6,8 +6,8 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::{mpsc, oneshot};
-use tokio::task::spawn_local;
+use tokio::sync::mpsc;
+use tokio::task::{JoinHandle, spawn_local};
 
 /// Maximum number of chunks in the channel to the writer task; further ones go to the backlog.
 const MAX_QUEUED_CHUNKS: usize = 32;
@@ -42,8 +42,8 @@
     /// Chunks that did not fit into the channel. Invariant: empty unless a task waits for room.
     backlog: VecDeque<Bytes>,
     backlog_bytes: usize,
-    /// Ends once the writer task has closed the connection.
-    closed: oneshot::Receiver<()>,
+    /// Ends once the channel is closed and its chunks are written, or the connection has failed.
+    writer: JoinHandle<()>,
 }
 
 /// Starts the reader and writer tasks of a connection. `received` holds bytes that were read from
@@ -61,8 +61,7 @@
     let (reader, writer) = socket.into_split();
     let (out, outgoing) = mpsc::channel(MAX_QUEUED_CHUNKS);
     let (mode, modes) = mpsc::unbounded_channel();
-    let (closing, closed) = oneshot::channel();
-    spawn_local(write(writer, outgoing, closing));
+    let writer = spawn_local(write(writer, outgoing));
     spawn_local(self::read(reader, received, modes, events, wrap));
     Handle {
         out,
@@ -70,7 +69,7 @@
         paused: false,
         backlog: VecDeque::new(),
         backlog_bytes: 0,
-        closed,
+        writer,
     }
 }
 
@@ -120,20 +119,22 @@
         }
     }
 
-    /// Closes the connection as dropping the handle does, and waits until that has been done.
-    pub async fn close(self) {
-        let closed = self.closed;
-        drop((self.out, self.mode));
-        // The sender is dropped without a message.
-        let _dropped = closed.await;
-    }
-
     /// Size of the backlog in bytes, without the chunks in the channel.
     #[must_use]
     pub fn backlog_bytes(&self) -> usize {
         self.backlog_bytes
     }
 
+    /// Closes the connection, and waits until the chunks in the channel are written or the
+    /// connection has failed. The backlog is lost.
+    pub async fn close(self) {
+        let Self {
+            out, mode, writer, ..
+        } = self;
+        drop((out, mode));
+        let _ended = writer.await;
+    }
+
     /// Stops reading from the socket, so that TCP flow control slows down the peer.
     pub fn pause(&mut self) {
         if !self.paused {
@@ -151,12 +152,7 @@
     }
 }
 
-/// Writes chunks until the handle is dropped. `_closing` is dropped after the connection is closed.
-async fn write(
-    mut socket: OwnedWriteHalf,
-    mut outgoing: mpsc::Receiver<Bytes>,
-    _closing: oneshot::Sender<()>,
-) {
+async fn write(mut socket: OwnedWriteHalf, mut outgoing: mpsc::Receiver<Bytes>) {
     while let Some(bytes) = outgoing.recv().await {
         if socket.write_all(&bytes).await.is_err() {
             return;
@@ -205,7 +201,8 @@
 }
 
 /// Starts a task that sends `event`, which holds [`Event::Writable`], once the channel `out` of a
-/// connection has room.
+/// connection has room, or the writer task has ended. While reading is paused nothing else reports
+/// that the connection has failed.
 pub fn notify_when_writable<E: 'static>(
     out: mpsc::Sender<Bytes>,
     events: mpsc::Sender<E>,
@@ -214,9 +211,7 @@
     spawn_local(async move {
         // The permit is released immediately; the event loop is the only sender, so the room
         // remains.
-        let has_room = out.reserve().await.is_ok();
-        if has_room {
-            let _result = events.send(event).await;
-        }
+        drop(out.reserve().await);
+        let _result = events.send(event).await;
     });
 }
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -68,6 +68,8 @@
     pub(crate) unconfirmed: Unconfirmed,
     pub(crate) rates: Rates,
     pub(crate) sessions: SlotMap<SessionKey, Session>,
+    /// Number of callers whose sessions have ended and whose last bytes are being written.
+    pub(crate) finishing_callers: usize,
     pub(crate) conns: SlotMap<ConnKey, Conn>,
     /// Servers. The index of a server stays valid after it has been removed.
     pub(crate) servers: Vec<Server>,
@@ -210,6 +212,7 @@
             unconfirmed: Unconfirmed::default(),
             rates: Rates::new(now),
             sessions: SlotMap::with_key(),
+            finishing_callers: 0,
             conns: SlotMap::with_key(),
             servers: Vec::new(),
             server_indices: HashMap::default(),
@@ -273,6 +276,9 @@
         match event {
             Event::Accepted(socket) => self.on_accepted(socket),
             Event::Session(key, event) => self.on_session(now, key, event),
+            Event::CallerFinished => {
+                self.finishing_callers = self.finishing_callers.saturating_sub(1);
+            }
             Event::ConnOpened(key, result) => self.on_conn_opened(now, key, result),
             Event::Conn(key, event) => self.on_conn(now, key, event),
             Event::CoordinatorDialed(dial, out) => self.on_coordinator_dialed(now, dial, out),
@@ -318,6 +324,10 @@
         self.maintain_issuer(now);
         let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         self.metrics.sessions.set(gauge(self.sessions.len()));
+        self.metrics.server_connections.set(gauge(self.conns.len()));
+        let borrowed = self.servers.iter().map(|server| server.borrowed).sum();
+        self.metrics.borrowed_connections.set(gauge(borrowed));
+        self.metrics.unaccounted.set(gauge(self.unaccounted()));
         let waiting = self
             .services
             .iter()
@@ -374,7 +384,7 @@
             });
             if session.closing && session.handle.backlog_bytes() == 0 {
                 // The socket is closed after the bytes that were handed to it.
-                self.sessions.remove(key);
+                self.remove_session(now, key);
             }
         }
     }
