Close the stream to a lender that can't be told of a returned loan

A message that returned a loan was dropped if the queue to the lender was full, and nothing closed the stream. The lender then counted the connection as lent until the stream ended for another reason.

The queue, now in its own type, remembers that a loan could not be returned. Such a lender is asked for no further loan, and the next maintenance closes its stream, with which the lender closes what it has lent.

The new test of the queue fails without the mark. The closing of the stream itself is not tested from end to end.

--- a/components/proxy/src/borrow.rs
+++ b/components/proxy/src/borrow.rs
@@ -16,6 +16,7 @@
 use crate::event::{ConnKey, Event};
 use crate::lender_choice::Choice;
 use crate::lenders::Neighbour;
+use crate::outbox::Outbox;
 use crate::process::Loop;
 use crate::protocol::Protocol;
 use crate::session::Urgency;
@@ -35,7 +36,7 @@
     /// Holds the time from which it may be dialed again.
     Down(Instant),
     Dialing,
-    Up(mpsc::Sender<Borrow>),
+    Up(Outbox),
 }
 
 /// Stream to another proxy, and the loans from it.
@@ -85,15 +86,16 @@
         lender.is_none_or(|lender| lender.silent_since <= since)
     }
 
+    /// Queue of the messages to a lender, if its stream is open.
+    pub(crate) fn outbox(&mut self, lender: SocketAddr) -> Option<&mut Outbox> {
+        match &mut self.streams.get_mut(&lender)?.state {
+            State::Up(out) => Some(out),
+            State::Down(_) | State::Dialing => None,
+        }
+    }
+
     pub(crate) fn send(&mut self, lender: SocketAddr, message: Borrow) -> bool {
-        let Some(Lender {
-            state: State::Up(out),
-            ..
-        }) = self.streams.get(&lender)
-        else {
-            return false;
-        };
-        out.try_send(message).is_ok()
+        self.outbox(lender).is_some_and(|out| out.send(message))
     }
 }
 
@@ -150,7 +152,7 @@
             version: wire::LOAN_VERSION,
             instance: self.settings.instance.to_string(),
         });
-        lender.state = State::Up(out);
+        lender.state = State::Up(Outbox::new(out));
     }
 
     /// Asks a lender for a connection to a server. Returns false if no lender is available or being
--- a/components/proxy/src/lender_choice.rs
+++ b/components/proxy/src/lender_choice.rs
@@ -73,11 +73,11 @@
             };
             let denied = self.servers[index].denied.get(&address).copied();
             let denied = denied.max(lender.denied_until);
-            match lender.state {
-                State::Up(_) if denied.is_none_or(|until| until <= now) => {
+            match &lender.state {
+                State::Up(out) if !out.must_close() && denied.is_none_or(|until| until <= now) => {
                     return Choice::Ask(address);
                 }
-                State::Down(at) if at <= now => {
+                State::Down(at) if *at <= now => {
                     self.dial_lender(now, address);
                     choice = Choice::Dialing;
                 }
@@ -193,11 +193,19 @@
         next
     }
 
-    /// Closes the streams of lenders that are silent although they have open loans.
-    pub(crate) fn drop_silent_lenders(&mut self, now: Instant) {
+    /// Closes the streams of lenders that are silent although they have open loans, and of those that
+    /// could not be told of the end of a loan.
+    pub(crate) fn close_failed_lenders(&mut self, now: Instant) {
         if self.lenders.by_server {
             self.skip_unanswered(now);
         }
+        let must_close =
+            |lender: &Lender| matches!(&lender.state, State::Up(out) if out.must_close());
+        let unreturned = self.lenders.streams.iter();
+        let unreturned = unreturned.filter(|(_, lender)| must_close(lender));
+        for address in unreturned.map(|(address, _)| *address).collect::<Vec<_>>() {
+            self.on_lender_lost(now, address, CAUSE_LENDER_LOST);
+        }
         let silent = self.lenders.streams.iter();
         let silent = silent.filter(|(_, lender)| lender.is_silent(now));
         let silent: Vec<SocketAddr> = silent.map(|(address, _)| *address).collect();
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod choose;
 pub mod freshness;
 pub mod lenders;
+pub mod outbox;
 pub mod protocol;
 pub mod tenant;
 
--- a/components/proxy/src/loan.rs
+++ b/components/proxy/src/loan.rs
@@ -124,12 +124,8 @@
             }
         }
         self.lenders.end_loan(loan);
-        let message = Borrow::Return {
-            loan: loan.number,
-            clean,
-        };
-        // A stream whose queue is full is about to be closed, and the lender then closes the lent
-        // connections.
-        let _sent = self.lenders.send(loan.lender, message);
+        if let Some(out) = self.lenders.outbox(loan.lender) {
+            out.return_loan(loan.number, clean);
+        }
     }
 }
--- a/components/proxy/src/process.rs
+++ b/components/proxy/src/process.rs
@@ -313,7 +313,7 @@
     }
 
     pub(crate) fn on_maintenance(&mut self, now: Instant) {
-        self.drop_silent_lenders(now);
+        self.close_failed_lenders(now);
         self.pulse_borrowers(now);
         self.end_backup_lending(now);
         self.close_idle(now);
--- a/components/proxy/tests/lenders.rs
+++ b/components/proxy/tests/lenders.rs
@@ -6,7 +6,10 @@
     BACKUP_LENDER_COUNT, Duty, LENDER_COUNT, Lending, Neighbour, preferred, ranked,
     ranked_for_server,
 };
+use proxy::outbox::Outbox;
 use proxy::tenant::Directory;
+use tokio::sync::mpsc;
+use wire::Borrow;
 
 fn neighbours(count: u16) -> Vec<Neighbour> {
     let neighbour = |index: u16| Neighbour {
@@ -200,3 +203,23 @@
     let planned = directory.id("planned");
     assert_eq!(directory.name(planned), "planned");
 }
+
+// Guards against a lender that keeps a connection lent for good, as the message that returns the loan
+// found no room in the queue and nothing closed the stream.
+#[test]
+fn stream_must_close_if_a_loan_cannot_be_returned() {
+    let (out, mut outgoing) = mpsc::channel(1);
+    let mut out = Outbox::new(out);
+    out.return_loan(1, true);
+    assert!(!out.must_close(), "the first loan is returned");
+    assert!(!out.send(Borrow::Return {
+        loan: 2,
+        clean: true
+    }));
+    assert!(!out.must_close(), "the sender has handled the failure");
+    out.return_loan(3, true);
+    assert!(out.must_close(), "the lender does not know of the end");
+    outgoing.try_recv().unwrap();
+    out.return_loan(4, true);
+    assert!(out.must_close(), "loan 3 is still open");
+}
