Correct comments and two names of the new parts

Cause: a reader who had not seen the project found comments that contradict the code, and two names that need explaining.

--- a/components/admission/src/tenancy.rs
+++ b/components/admission/src/tenancy.rs
@@ -1,7 +1,7 @@
 //! Connections of one server, shared by tenants.
 //!
 //! A connection is opened in the name of a tenant and serves no other. The load: 85 tenants of skewed
-//! size use servers with 56 connections each, of which a lender has 6. Most sessions are idle, and
+//! size use servers with 56 connections each, of which a lender has 26. Most sessions are idle, and
 //! some rest in open transactions. Opening a connection costs the server as much as a statement of
 //! mean length, so a connection is kept for its tenant, and is replaced only if there is no room for
 //! another one.
@@ -63,7 +63,7 @@
     Full,
 }
 
-/// Number of connections.
+/// Room for further connections to a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Room {
     /// Number that may be opened now within the share.
@@ -102,7 +102,7 @@
     }
 
     /// When a connection is expected to become free. One that has exceeded the expected time is
-    /// expected to take as long again, so that nobody waits for one that hangs.
+    /// expected to need as long again as it has exceeded it, so that nobody waits for one that hangs.
     fn free_at<K, T>(&self, now: Instant, connection: &Connection<K, T>) -> Option<Instant> {
         let expected = match connection.state {
             State::Opening => self.to_open,
--- a/components/coordinator/src/rate.rs
+++ b/components/coordinator/src/rate.rs
@@ -25,13 +25,13 @@
 /// count suspended time, so another leader may issue tokens meanwhile.
 const SUSPENSION_PAUSE: Duration = Duration::from_secs(1);
 
-/// Lifetime of tokens at the entries, which do not know the coordinators' settings. The issuer must
-/// not forget tokens that an entry may still spend.
+/// Lifetime of tokens at the entries (`TOKEN_LIFETIME` in the crate `proxy`), which do not know the
+/// coordinators' settings. The issuer must not forget tokens that an entry may still spend.
 const MIN_LIFETIME: Duration = Duration::from_secs(5);
 
-/// The issuer and what it needs besides.
+/// The issuer of this instance while it leads, and its state.
 #[derive(Debug)]
-struct Office {
+struct ActiveIssuer {
     limit: Limit,
     issuer: Issuer<String, StreamId>,
     suspension: Suspension,
@@ -52,7 +52,7 @@
 /// streams: they are closed, and the entries connect to the next leader.
 #[derive(Debug, Default)]
 pub struct Rates {
-    office: Option<Office>,
+    active: Option<ActiveIssuer>,
     streams: BTreeMap<StreamId, Stream>,
     /// Latest stream of each entry, which may have ended. Invariant: at most `MAX_ENTRIES`.
     latest: BTreeMap<String, StreamId>,
@@ -66,7 +66,7 @@
             lifetime: limit.window.max(MIN_LIFETIME),
             slack: limit.slack,
         };
-        self.office = Some(Office {
+        self.active = Some(ActiveIssuer {
             limit,
             issuer: Issuer::new(moment, limit),
             suspension: Suspension::new(now(), moment),
@@ -78,35 +78,35 @@
 
     /// Ends the issuer and closes all streams, as this instance no longer leads.
     pub fn stop(&mut self) {
-        self.office = None;
+        self.active = None;
         self.streams.clear();
         self.latest.clear();
     }
 
     /// Sets the limits to those of a plan.
     pub fn set_plan(&mut self, plan: &Plan) {
-        let Some(office) = &mut self.office else {
+        let Some(active) = &mut self.active else {
             return;
         };
         let tenants = plan.tenants.iter();
-        let limit = office.limit;
+        let limit = active.limit;
         let limits =
             tenants.filter_map(|(name, tenant)| Some((name.clone(), limit.spread(tenant.rate?))));
         let limits: Vec<_> = limits.collect();
-        if !office.has_limits && !limits.is_empty() {
+        if !active.has_limits && !limits.is_empty() {
             tracing::info!(
                 limits = limits.len(),
                 version = plan.version,
                 "issuer of rate limit tokens started"
             );
         }
-        office.has_limits = !limits.is_empty();
-        office.issuer.set_rates(Boot.moment(), limits.into_iter());
+        active.has_limits = !limits.is_empty();
+        active.issuer.set_rates(Boot.moment(), limits.into_iter());
     }
 
     /// Accepts a stream, or closes it if this instance does not lead.
     pub fn open(&mut self, id: StreamId, outgoing: mpsc::Sender<wire::Issue>) {
-        if self.office.is_some() && self.streams.len() < MAX_STREAMS {
+        if self.active.is_some() && self.streams.len() < MAX_STREAMS {
             let claim = None;
             self.streams.insert(id, Stream { outgoing, claim });
         }
@@ -124,16 +124,16 @@
             Some(_) | None => return,
         };
         self.streams.remove(&earlier);
-        if let Some(office) = &mut self.office {
-            office.issuer.on_replaced(moment, earlier, id);
+        if let Some(active) = &mut self.active {
+            active.issuer.on_replaced(moment, earlier, id);
         }
     }
 
     fn close(&mut self, moment: Moment, id: StreamId) {
         if self.streams.remove(&id).is_some()
-            && let Some(office) = &mut self.office
+            && let Some(active) = &mut self.active
         {
-            office.issuer.on_lost(moment, id);
+            active.issuer.on_lost(moment, id);
         }
     }
 
@@ -146,15 +146,15 @@
         is_confirmed: bool,
         mut on_answer: impl FnMut(&Claim<String>, &Issue<String>),
     ) {
-        let Some(office) = &mut self.office else {
+        let Some(active) = &mut self.active else {
             return;
         };
-        if office.suspension.detect(now, moment) {
+        if active.suspension.detect(now, moment) {
             tracing::warn!("machine was suspended; issuer of rate limit tokens starts again");
-            office.issuer.restart(moment);
-            office.paused_until = Some(now + SUSPENSION_PAUSE);
+            active.issuer.restart(moment);
+            active.paused_until = Some(now + SUSPENSION_PAUSE);
         }
-        if !is_confirmed || office.paused_until.is_some_and(|until| now < until) {
+        if !is_confirmed || active.paused_until.is_some_and(|until| now < until) {
             return;
         }
         let mut closed = Vec::new();
@@ -162,7 +162,7 @@
             let Some(claim) = stream.claim.take() else {
                 continue;
             };
-            let issue = office.issuer.on_claim(moment, *id, &claim);
+            let issue = active.issuer.on_claim(moment, *id, &claim);
             on_answer(&claim, &issue);
             if stream.outgoing.try_send(issue.into()).is_err() {
                 closed.push(*id);
--- a/components/proxy/src/accounts.rs
+++ b/components/proxy/src/accounts.rs
@@ -1,17 +1,17 @@
-//! Accounts of the connections to servers: whether each one is idle or in use, and whether the
-//! counts of each server agree with its connections.
+//! Consistency check of the connections to servers: each one must be in exactly one state, and the
+//! counts of each server must agree with its connections.
 
 use crate::conn::{Conn, Purpose};
 use crate::event::ConnKey;
 use crate::process::Loop;
 use crate::protocol::Protocol;
-
 use crate::session::Stage;
 use clock::Clock;
 
 impl<P: Protocol, C: Clock> Loop<P, C> {
-    /// Number of connections of which none of the following holds, plus the deviations of the
-    /// servers' counts: idle, used by a session, lent, requested from a lender, or awaiting an answer.
+    /// Number of connections that are missing from their server's list or are not in exactly one of
+    /// these states, plus the deviations of the servers' counts: idle, used by a session, lent,
+    /// requested from a lender, or awaiting an answer.
     /// A value above 0 means that connections are lost to statements until they are closed.
     pub(crate) fn unaccounted(&self) -> usize {
         let unused = self
--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -79,7 +79,7 @@
         if !uses_lenders && !self.has_slot(now, index) {
             return false;
         }
-        let conn = if !uses_lenders && self.tells_tenants(index) {
+        let conn = if !uses_lenders && self.is_tenant_specific(index) {
             self.assign_conn(now, index, key)
         } else {
             let conn = self.take_idle_conn(key, index);
@@ -212,7 +212,7 @@
         urgency: Urgency,
     ) {
         let server = &self.servers[index];
-        let (waiting, opening, open_count) = if self.tells_tenants(index) {
+        let (waiting, opening, open_count) = if self.is_tenant_specific(index) {
             let (opening, open) = self.count_conns(index, tenant);
             (self.count_waiting(server.service, tenant), opening, open)
         } else {
--- a/components/proxy/src/identity.rs
+++ b/components/proxy/src/identity.rs
@@ -22,10 +22,10 @@
 const CONFIRMING_PULSES: u8 = 2;
 /// How long a session with an unknown key waits for these pulses. Callers give up after 2 s.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(1);
-/// Number of sessions that wait for the confirmation of their keys. A flood of invalid keys must not
-/// hold the sessions of this proxy.
+/// Highest number of sessions that wait for the confirmation of their keys. A flood of invalid keys
+/// must not take up the memory and descriptors of this proxy.
 const MAX_UNCONFIRMED: usize = 256;
-/// Number of tenants that a log line about withdrawn keys names, those with most sessions first.
+/// Highest number of tenants that a log line about withdrawn keys names, those with most sessions first.
 const MAX_LOGGED_TENANTS: usize = 8;
 /// A coordinator reports contact with the leader for up to this time after the contact.
 const CONTACT_MARGIN: Duration = Duration::from_millis(1200);
--- a/components/proxy/src/lend.rs
+++ b/components/proxy/src/lend.rs
@@ -183,7 +183,7 @@
 
     /// Lends idle connections to waiting borrowers, and opens more as far as allowed.
     pub(crate) fn serve_waiters(&mut self, now: Instant, index: usize) {
-        if self.tells_tenants(index) {
+        if self.is_tenant_specific(index) {
             return self.serve_tenants(now, index);
         }
         while !self.servers[index].waiters.is_empty() {
--- a/components/proxy/src/lender_choice.rs
+++ b/components/proxy/src/lender_choice.rs
@@ -92,7 +92,7 @@
         choice
     }
 
-    /// Has reads tried on other servers while a server's lender is being dialed.
+    /// Makes reads prefer other servers while a server's lender is being dialed.
     pub(crate) fn on_dialing_lender(&mut self, now: Instant, index: usize) {
         let server = &mut self.servers[index];
         if self.lenders.by_server && !server.has_full_slots(now) {
@@ -171,7 +171,7 @@
         }
     }
 
-    /// Has reads that wait for silent lenders tried on other servers. Returns when the next request
+    /// Makes reads that wait for silent lenders prefer other servers. Returns when the next request
     /// will have waited too long.
     fn skip_unanswered(&mut self, now: Instant) -> Option<Instant> {
         let mut next: Option<Instant> = None;
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -34,7 +34,7 @@
     pub goal: Duration,
     /// Rank among waiting statements; 0 goes first.
     pub priority: u8,
-    /// Tenant of the caller; `None` if the route needs none.
+    /// Tenant of the caller; `None` if the route is public and no tenant holds the key.
     pub tenant: Option<tenant::Id>,
 }
 
--- a/components/proxy/src/tenancy.rs
+++ b/components/proxy/src/tenancy.rs
@@ -1,6 +1,6 @@
 //! Connections in the name of tenants: input of [`admission::tenancy`], and execution of its steps.
 //!
-//! Without tenants nothing here decides anything, see [`Loop::tells_tenants`].
+//! Without tenants nothing here decides anything, see [`Loop::is_tenant_specific`].
 
 use std::time::{Duration, Instant};
 
@@ -35,7 +35,7 @@
 
 impl<P: Protocol, C: Clock> Loop<P, C> {
     /// Whether a server's connections belong to tenants, or are wanted by some.
-    pub(crate) fn tells_tenants(&self, index: usize) -> bool {
+    pub(crate) fn is_tenant_specific(&self, index: usize) -> bool {
         let server = &self.servers[index];
         let is_tenants = |key: &ConnKey| self.conns.get(*key).is_some_and(|c| c.tenant.is_some());
         self.directory.largest().is_some()
--- a/components/proxy/src/tenant.rs
+++ b/components/proxy/src/tenant.rs
@@ -68,7 +68,7 @@
 }
 
 impl Directory {
-    /// Replaces the tenants with those of a plan. Returns the earlier keys if they were others.
+    /// Replaces the tenants with those of a plan. Returns the earlier keys if they differ.
     pub fn update(&mut self, plan: &Plan) -> Option<Keys> {
         let keys = Keys::new(plan, |name| self.id(name));
         let rate = |tenant: &Tenant| tenant.rate.map_or(0, |rate| rate.per_second_milli);
--- a/components/ratelimit/src/bucket.rs
+++ b/components/ratelimit/src/bucket.rs
@@ -1,7 +1,7 @@
 //! Bucket of one tenant.
 //!
-//! The tokens in the bucket and the unspent ones of holders together never exceed the burst and half
-//! of the slack. In any window the operations started are therefore at most these and what the bucket
+//! The tokens in the bucket and the unspent ones of holders together stay within the burst and half
+//! of the slack, except that the bucket can always fill to one token. In any window the operations started are therefore at most these and what the bucket
 //! gains in it, whatever holders do.
 
 use std::collections::{BTreeMap, VecDeque};
@@ -19,7 +19,7 @@
 const PARTS_PER_MILLI: u128 = 1_000_000_000;
 /// Parts of a token.
 const TOKEN: u128 = 1000 * PARTS_PER_MILLI;
-/// Longest backlog that is named to holders. Callers do not wait longer for an operation.
+/// Longest time after which a holder or a caller is told to come back.
 pub const MAX_RETRY: Duration = Duration::from_secs(5);
 /// Tokens issued to a holder within this time share one batch, which bounds the number of batches.
 const BATCH_SPAN: Duration = Duration::from_millis(250);
--- a/components/ratelimit/src/holder.rs
+++ b/components/ratelimit/src/holder.rs
@@ -14,8 +14,8 @@
 /// Time from the first claim on a stream in which claims are sent even if no tenant is in use. An issuer
 /// withholds the shares of proxies that it has not heard of.
 const GREETING_TIME: Duration = Duration::from_secs(5);
-/// Part of the lifetime after which a claim counts as lost, and tokens counted as spent when they
-/// were issued can't be used any more. Operations then start at most this much after the issuer
+/// A claim counts as lost after the lifetime divided by this. From then on, tokens that were counted
+/// as spent when they were issued can't be used any more. Operations then start at most this much after the issuer
 /// counted them, which adds a tenth of the rate to a window of one lifetime.
 const PROMPT_PART: u32 = 10;
 
@@ -182,7 +182,8 @@
         self.clear_pending();
     }
 
-    /// Settles the operations whose deadlines have passed.
+    /// Settles the waiting operations for which no answer is needed: their deadlines have passed, a
+    /// token is available, or their tenants have no limit any more. Also drops what has expired.
     pub fn expire(&mut self, now: Moment, settled: &mut Vec<Settled<W>>) {
         for (tenant, stock) in &mut self.stocks {
             if self.limited.contains(tenant) {
--- a/components/ratelimit/src/issuer.rs
+++ b/components/ratelimit/src/issuer.rs
@@ -22,7 +22,7 @@
 /// arrive evenly.
 const MIN_BURST_MILLI: u64 = 8000;
 
-/// What an issuer tolerates.
+/// Settings of an issuer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limit {
     /// Lifetime of tokens.
@@ -140,8 +140,8 @@
     }
 
     /// The proxy of a holder has opened another stream and spends nothing as the old holder any more.
-    /// The new one reports what it has left of the shares, which is nothing after a restart; without
-    /// this the shares of each restarted proxy were withheld for 15 s.
+    /// The new one reports what it has left of the shares, which is nothing after a restart; otherwise
+    /// the shares of a restarted proxy would be withheld for 15 s.
     pub fn on_replaced(&mut self, now: Moment, old: H, new: H) {
         self.set_silent(now, old, true);
         let Some(account) = self.accounts.remove(&old) else {
--- a/components/ratelimit/src/local.rs
+++ b/components/ratelimit/src/local.rs
@@ -6,7 +6,8 @@
 
 use crate::message::{CONTACT_TIMEOUT, SHARE_CAPACITY, SHARE_LIFETIME};
 
-/// Parts of a token in one thousandth, as a share gains them per nanosecond.
+/// Parts of a token. A share of one thousandth of an operation per second gains one part per
+/// nanosecond.
 const TOKEN: u128 = 1000 * 1_000_000_000;
 
 /// From when until when the shares may be spent.
--- a/components/ratelimit/src/shares.rs
+++ b/components/ratelimit/src/shares.rs
@@ -12,8 +12,8 @@
 /// Time over which the use of holders is averaged, in seconds. With 5 or 8 s, 1% more of the operations at
 /// holders cut off at 400/s are admitted, but shares follow moved callers later.
 const AVERAGE_S: f64 = 2.0;
-/// Weight of a holder that uses the tenant beyond that of its operations: those of a holder with few
-/// show its use only roughly.
+/// Weight, in operations, that every holder with the tenant in use has in addition to its use: a
+/// holder with few operations needs a share as well.
 const BASE_WEIGHT: f64 = 1.0;
 
 /// Share of one holder.
--- a/components/ratelimit/src/stock.rs
+++ b/components/ratelimit/src/stock.rs
@@ -14,8 +14,8 @@
 /// Highest number of operations of one tenant that wait. Bounds the memory; a process has fewer
 /// descriptors for callers.
 const MAX_WAITING: usize = 8192;
-/// Fewest operations in the usage window for which tokens are held: a single one shows no rate, and
-/// of a tenant with few tokens each one held is missing elsewhere.
+/// Fewest operations in the usage window for which tokens to hold are claimed before the next report
+/// is due. A single operation shows no rate.
 const MIN_USAGE: u32 = 2;
 /// Shortest time between two claims for tokens to hold, if the issuer does not grant them.
 const AHEAD_INTERVAL: Duration = Duration::from_millis(100);
@@ -221,7 +221,7 @@
         })
     }
 
-    /// Tokens to hold: the use of the window. More are kept as long as they are less than twice that,
+    /// Tokens to hold: the operations of the usage window, and at least one while the tenant is in use. More are kept as long as they are less than twice that,
     /// so that uneven use does not move tokens to and fro.
     fn wanted_ahead(&self, now: Moment, is_short: bool) -> u32 {
         let usage = self.usage.total();
--- a/components/settings/src/coordinator.rs
+++ b/components/settings/src/coordinator.rs
@@ -44,7 +44,7 @@
 /// How rate limits of tenants are shared between entries.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RateLimit {
-    /// How long entries may keep unspent tokens.
+    /// How long the issuer counts tokens as held by entries, at least 5 s.
     pub window: Duration,
     /// Operations beyond a tenant's burst that are tolerated.
     pub slack: u64,
